--- a/lint/layers.mjs
+++ b/lint/layers.mjs
@@ -1,7 +1,7 @@
 /** Layers from the outermost to the innermost; a package may import its own layer and those after it. */
 export const layers = [
   { name: 'transport', packages: ['http-client', 'http-server', 'peer-socket'] },
-  { name: 'protocol', packages: ['peer-protocol', 'caller-protocol'] },
+  { name: 'protocol', packages: ['peer-protocol', 'caller-protocol', 'cell-front'] },
   {
     name: 'coordination',
     packages: [
@@ -11,6 +11,8 @@
       'slot-pool',
       'request-router',
       'partition-owner',
+      'cell-log',
+      'cell-owner',
     ],
   },
   {
@@ -23,12 +25,14 @@
       'configuration',
       'account',
       'history-checker',
+      'cell-state',
+      'cell-planner',
     ],
   },
 ];
 
 /** Packages that every package may import. */
-export const sharedPackages = ['clock', 'errors', 'types'];
+export const sharedPackages = ['clock', 'errors', 'types', 'cell-types'];
 
 /** Packages that assemble processes and may import every package. */
-export const assemblyPackages = ['entry', 'stand-in', 'bench', 'cli'];
+export const assemblyPackages = ['entry', 'cell-process', 'stand-in', 'bench', 'cli'];
--- /dev/null
+++ b/packages/cell-front/src/index.ts
@@ -0,0 +1,161 @@
+import Result from 'true-myth/result';
+import type Unit from 'true-myth/unit';
+import type { Clock } from '@acaciahoist/clock';
+import { Failure } from '@acaciahoist/errors';
+import { ErrorKind } from '@acaciahoist/errors/error-kind';
+import type { CellJob } from '@acaciahoist/cell-types';
+import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
+import type { CellState } from '@acaciahoist/cell-state';
+import type { EventLog } from '@acaciahoist/types/event-log';
+
+interface Options {
+  clock: Clock;
+  log: EventLog;
+  count: (name: string, by?: number) => void;
+  state: () => CellState;
+  /** Age in ms of what the replica knows. */
+  replicaAgeMs: () => number;
+  /** Waits until the replica has all that is in the log now; false when that cannot be known. */
+  sync: (timeoutMs: number) => Promise<boolean>;
+  append: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
+}
+
+/** A store that was silent for this long in ms is taken as away: requests are refused at once. */
+const STORE_AWAY_MS = 1_500;
+/** Longest time in ms that an answer waits for the replica to catch up. */
+const SYNC_MS = 1_000;
+
+/** Accepts, shows and cancels jobs on behalf of clients. A job is accepted once it is in the log. */
+export class CellFront {
+  static create(options: Options): CellFront {
+    return new CellFront(options);
+  }
+
+  /** Submissions in flight by job, so that a repeated one waits for the first. */
+  private readonly inFlight = new Map<string, Promise<Result<Unit, Failure>>>();
+  /** Jobs that were accepted here and that the replica has not read yet. */
+  private readonly accepted = new Set<string>();
+
+  private constructor(private readonly options: Options) {}
+
+  /**
+   * Accepts a job. Fails with `log-unavailable` when the job is not accepted and never runs, and with
+   * `append-unknown` when that cannot be known within `timeoutMs`.
+   */
+  submit(job: CellJob, timeoutMs: number): Promise<Result<Unit, Failure>> {
+    if (this.isKnown(job.id)) return Promise.resolve(Result.ok());
+    const earlier = this.inFlight.get(job.id);
+    const submission = earlier ?? this.appendJob(job);
+    return this.within(submission, timeoutMs, `job ${job.id} is not yet known to be stored`);
+  }
+
+  /** State of a job. Fails with `unknown-job`, or with `log-unavailable` when that cannot be known. */
+  async outcomeOf(id: string): Promise<Result<JobOutcome, Failure>> {
+    const known = this.options.state().outcomeOf(id) ?? this.overlay(id);
+    if (known !== undefined) return Result.ok(known);
+    const isCurrent = await this.options.sync(SYNC_MS);
+    const found = this.options.state().outcomeOf(id) ?? this.overlay(id);
+    if (found !== undefined) return Result.ok(found);
+    return Result.err(isCurrent ? unknownJob(id) : this.unavailable(`job ${id} is not known here`));
+  }
+
+  /** Cancels a job; a job that has ended stays as it is. Fails like `outcomeOf` and `submit`. */
+  async cancel(id: string, timeoutMs: number): Promise<Result<Unit, Failure>> {
+    const outcome = await this.outcomeOf(id);
+    if (outcome.isErr) return Result.err(outcome.error);
+    if (this.options.state().ended.has(id)) return Result.ok();
+    if (this.isStoreAway()) return Result.err(this.unavailable('the cancel cannot be stored'));
+    const cancelled = this.options.append({ kind: 'cancel', id }).then((result) => {
+      if (result === 'appended') return Result.ok();
+      return Result.err(
+        result === 'refused'
+          ? this.unavailable('the cancel was not stored')
+          : Failure.create(ErrorKind.appendUnknown, `cancel of ${id} may or may not be stored`),
+      );
+    });
+    const result = await this.within(cancelled, timeoutMs, `cancel of ${id} is not yet stored`);
+    this.options.log('info', 'cancel-answered', { job: id, stored: result.isOk });
+    return result;
+  }
+
+  /** Accepted jobs of a queue for which no task has started. */
+  pendingOf(queue: string): number {
+    return this.options.state().pendingOf(queue);
+  }
+
+  /** To be called for every job record that the replica applied. */
+  observeJob(id: string): void {
+    this.accepted.delete(id);
+  }
+
+  private async appendJob(job: CellJob): Promise<Result<Unit, Failure>> {
+    if (this.isStoreAway()) {
+      this.noteRefusal(job.id, 'store-away');
+      return Result.err(this.unavailable('the store is out of reach'));
+    }
+    const submission = this.options.append({ kind: 'job', job }).then((result) => {
+      this.inFlight.delete(job.id);
+      if (result === 'appended') {
+        if (!this.isKnown(job.id)) this.accepted.add(job.id);
+        this.options.log('info', 'job-accepted', {
+          job: job.id,
+          queue: job.queue.name,
+          steps: job.steps.length,
+        });
+        this.options.count('jobs_accepted_total');
+        return Result.ok();
+      }
+      this.noteRefusal(job.id, result);
+      return Result.err(
+        result === 'refused'
+          ? this.unavailable('the job was not stored')
+          : Failure.create(ErrorKind.appendUnknown, `job ${job.id} may or may not be stored`),
+      );
+    });
+    this.inFlight.set(job.id, submission);
+    return submission;
+  }
+
+  private noteRefusal(job: string, reason: string): void {
+    const replicaAgeMs = Math.round(this.options.replicaAgeMs());
+    this.options.log('warn', 'job-not-accepted', { job, reason, replicaAgeMs });
+    this.options.count('jobs_not_accepted_total');
+  }
+
+  private isStoreAway(): boolean {
+    return this.options.replicaAgeMs() > STORE_AWAY_MS;
+  }
+
+  private isKnown(id: string): boolean {
+    return this.options.state().outcomeOf(id) !== undefined || this.accepted.has(id);
+  }
+
+  private overlay(id: string): JobOutcome | undefined {
+    return this.accepted.has(id) ? 'queued' : undefined;
+  }
+
+  private unavailable(message: string): Failure {
+    return Failure.create(ErrorKind.logUnavailable, message);
+  }
+
+  private within(
+    result: Promise<Result<Unit, Failure>>,
+    timeoutMs: number,
+    message: string,
+  ): Promise<Result<Unit, Failure>> {
+    return new Promise((resolve) => {
+      const cancel = this.options.clock.after(timeoutMs, () => {
+        resolve(Result.err(Failure.create(ErrorKind.appendUnknown, message)));
+      });
+      void result.then((value) => {
+        cancel();
+        resolve(value);
+      });
+    });
+  }
+}
+
+function unknownJob(id: string): Failure {
+  return Failure.create(ErrorKind.unknownJob, `no job with the id ${id} is known`);
+}
--- /dev/null
+++ b/packages/cell-log/src/append-outcome.ts
@@ -0,0 +1,9 @@
+/** What became of records that were handed to an appender. */
+export const AppendOutcome = {
+  appended: 'appended',
+  /** The records are not in the log and will not be. */
+  refused: 'refused',
+  unknown: 'unknown',
+} as const;
+
+export type AppendOutcome = (typeof AppendOutcome)[keyof typeof AppendOutcome];
--- /dev/null
+++ b/packages/cell-log/src/appender.ts
@@ -0,0 +1,125 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { AppendResult } from '@acaciahoist/cell-types/append-result';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { EventLog } from '@acaciahoist/types/event-log';
+import { AppendOutcome } from './append-outcome.js';
+
+interface Options {
+  clock: Clock;
+  store: Pick<LogStore, 'append'>;
+  log: EventLog;
+  topic: string;
+  producer: string;
+  epoch: number;
+  /** Sequence number of the first append. */
+  sequence: number;
+  /** True for records that must reach the log in the end; false to hand a refusal to the caller. */
+  insists: boolean;
+  onFenced: () => void;
+}
+
+interface Batch {
+  records: Uint8Array[];
+  settle: (outcome: AppendOutcome) => void;
+}
+
+/** Bytes of one append; the store takes 2 MiB, and smaller appends keep its partition responsive. */
+const MAX_BATCH_BYTES = 1_000_000;
+/** Pause in ms before an append is repeated; a store that answers "busy" needs time. */
+const RETRY_MS = 60;
+
+/**
+ * Appends records to one topic, one append at a time; records that arrive meanwhile go together into
+ * the next one. An append of unknown result is repeated under its sequence number until it is known,
+ * so that nothing is written twice and the order is kept.
+ */
+export class Appender {
+  static create(options: Options): Appender {
+    return new Appender(options);
+  }
+
+  private waiting: Batch[] = [];
+  private isRunning = false;
+  private isClosed = false;
+  private sequence: number;
+  private epoch: number;
+
+  private constructor(private readonly options: Options) {
+    this.sequence = options.sequence;
+    this.epoch = options.epoch;
+  }
+
+  /** Number of callers whose records wait or are in flight. */
+  get backlog(): number {
+    return this.waiting.length;
+  }
+
+  append(records: Uint8Array[]): Promise<AppendOutcome> {
+    if (this.isClosed) return Promise.resolve(AppendOutcome.refused);
+    return new Promise((settle) => {
+      this.waiting.push({ records, settle });
+      if (!this.isRunning) void this.run();
+    });
+  }
+
+  /** Gives up: an append in flight ends as unknown, those that wait as refused. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  private async run(): Promise<void> {
+    this.isRunning = true;
+    while (this.waiting.length > 0 && !this.isClosed) {
+      const batches = this.takeBatches();
+      const outcome = await this.write(batches.flatMap((batch) => batch.records));
+      for (const batch of batches) batch.settle(outcome);
+    }
+    for (const batch of this.waiting) batch.settle(AppendOutcome.refused);
+    this.waiting = [];
+    this.isRunning = false;
+  }
+
+  private takeBatches(): Batch[] {
+    let bytes = 0;
+    let count = 0;
+    for (const batch of this.waiting) {
+      bytes += batch.records.reduce((sum, record) => sum + record.byteLength, 0);
+      if (count > 0 && bytes > MAX_BATCH_BYTES) break;
+      count += 1;
+    }
+    return this.waiting.splice(0, count);
+  }
+
+  private async write(records: Uint8Array[]): Promise<AppendOutcome> {
+    const { store, topic, clock, log, insists } = this.options;
+    let isUnknown = false;
+    for (let attempt = 1; ; attempt += 1) {
+      const result: AppendResult = await store.append({
+        topic,
+        records,
+        producer: { name: this.options.producer, epoch: this.epoch, sequence: this.sequence },
+      });
+      if (result.kind === 'appended') {
+        this.sequence += 1;
+        return AppendOutcome.appended;
+      }
+      if (result.kind === 'fenced') {
+        this.isClosed = true;
+        this.options.onFenced();
+        return isUnknown ? AppendOutcome.unknown : AppendOutcome.refused;
+      }
+      if (result.kind === 'out-of-sequence' || result.kind === 'moved') {
+        log('error', 'append-out-of-sequence', { topic, epoch: this.epoch, sequence: this.sequence });
+        this.epoch += 1;
+        this.sequence = 0;
+        return AppendOutcome.unknown;
+      }
+      if (result.kind === 'unknown') isUnknown = true;
+      if (attempt === 1)
+        log('warn', 'append-not-answered', { topic, result: result.kind, reason: result.reason });
+      if (this.isClosed) return isUnknown ? AppendOutcome.unknown : AppendOutcome.refused;
+      if (!insists && !isUnknown) return AppendOutcome.refused;
+      await new Promise<void>((resolve) => clock.after(RETRY_MS, resolve));
+    }
+  }
+}
--- /dev/null
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -0,0 +1,142 @@
+import { createActor, type Actor } from 'xstate';
+import type { Clock } from '@acaciahoist/clock';
+import { recordCodec } from '@acaciahoist/cell-state/record-codec';
+import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { EventLog } from '@acaciahoist/types/event-log';
+import type { CellReplica } from './index.js';
+import { ownershipMachine } from './ownership-machine.js';
+
+interface Options {
+  clock: Clock;
+  store: Pick<LogStore, 'append'>;
+  replica: Pick<CellReplica, 'state' | 'ageMs' | 'isLoaded'>;
+  log: EventLog;
+  topic: string;
+  /** Name of this life of the process; unique among all lives. */
+  self: string;
+  address: string;
+  /** Silence of the owner in ms, with the log in reach, after which another process claims. */
+  silenceMs: number;
+  /** Random additional silence in ms, so that processes do not claim together. */
+  jitterMs: number;
+  onOwned: (token: number) => void;
+  onLost: (reason: string) => void;
+}
+
+/** Producer name of all owners; the epoch tells them apart and fences the former ones. */
+const OWNER_PRODUCER = 'owner';
+const TICK_MS = 50;
+/** A replica older than this says nothing about a silent owner. */
+const FRESH_MS = 800;
+/** A tick that is this late means that the process stood still, and its observations are void. */
+const STALL_MS = 700;
+
+/** Decides when this process claims the cell, and notices when it loses it. */
+export class CellOwnership {
+  static readonly producer = OWNER_PRODUCER;
+
+  static create(options: Options): CellOwnership {
+    return new CellOwnership(options);
+  }
+
+  private readonly machine: Actor<typeof ownershipMachine>;
+  private silentMs = 0;
+  private lastTickMs: number;
+  private ownToken = 0;
+  private cancelTick: () => void = () => undefined;
+
+  private constructor(private readonly options: Options) {
+    this.machine = createActor(ownershipMachine).start();
+    this.lastTickMs = options.clock.monotonicMs();
+  }
+
+  start(): void {
+    this.cancelTick = this.options.clock.after(TICK_MS, () => {
+      this.tick();
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.cancelTick();
+    this.machine.send({ type: 'STOP' });
+  }
+
+  isOwning(): boolean {
+    return this.machine.getSnapshot().value === 'owning';
+  }
+
+  /** Token of the claim in force when this process holds it; 0 otherwise. */
+  token(): number {
+    return this.isOwning() ? this.ownToken : 0;
+  }
+
+  /** To be called for every record of the cell log, after it was applied. */
+  observe(record: CellRecord): void {
+    if (record.kind === 'job' || record.kind === 'cancel') return;
+    this.silentMs = 0;
+    if (record.kind === 'claim') this.observeClaim(record.owner);
+  }
+
+  /** The store or a worker refused this owner for a newer one. */
+  fenced(by: string): void {
+    if (!this.isOwning()) return;
+    this.machine.send({ type: 'FENCED' });
+    this.options.onLost(by);
+  }
+
+  private observeClaim(owner: string): void {
+    const { self, replica } = this.options;
+    const token = replica.state.claim?.token ?? 0;
+    if (owner !== self) {
+      this.fenced('claim');
+      return;
+    }
+    if (this.machine.getSnapshot().value === 'stopped') return;
+    this.ownToken = token;
+    this.machine.send({ type: 'CLAIMED' });
+    this.options.onOwned(token);
+  }
+
+  private tick(): void {
+    const { clock, replica, silenceMs, jitterMs } = this.options;
+    const nowMs = clock.monotonicMs();
+    const elapsedMs = nowMs - this.lastTickMs;
+    this.lastTickMs = nowMs;
+    if (elapsedMs > STALL_MS || !replica.isLoaded || replica.ageMs() > FRESH_MS) {
+      // After a stall or an outage the owner gets time to show itself.
+      this.silentMs = Math.min(this.silentMs, silenceMs / 2);
+      return;
+    }
+    this.silentMs += elapsedMs;
+    if (this.machine.getSnapshot().value !== 'following') return;
+    const { claim } = replica.state;
+    const limitMs = claim === undefined || claim.released ? 0 : silenceMs;
+    if (this.silentMs >= limitMs + jitterMs) void this.claim();
+  }
+
+  private async claim(): Promise<void> {
+    const { store, replica, topic, self, address, log, clock } = this.options;
+    this.machine.send({ type: 'CLAIM' });
+    const at = replica.state.nextOffset;
+    log('info', 'claim-sent', {
+      at,
+      former: replica.state.claim?.owner ?? null,
+      silentMs: Math.round(this.silentMs),
+      replicaAgeMs: Math.round(replica.ageMs()),
+    });
+    const record = recordCodec.encode({ kind: 'claim', owner: self, address, wallMs: clock.wallMs() });
+    const result = await store.append({
+      topic,
+      records: [record],
+      at,
+      producer: { name: OWNER_PRODUCER, epoch: at + 1, sequence: 0 },
+    });
+    if (result.kind === 'appended') return;
+    log('info', 'claim-not-won', { at, result: result.kind });
+    // A claim of unknown result takes effect when the replica reads it.
+    this.silentMs = 0;
+    this.machine.send({ type: 'REJECTED' });
+  }
+}
--- /dev/null
+++ b/packages/cell-log/src/index.ts
@@ -0,0 +1,165 @@
+import type { Clock } from '@acaciahoist/clock';
+import { CellState } from '@acaciahoist/cell-state';
+import { recordCodec } from '@acaciahoist/cell-state/record-codec';
+import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { EventLog } from '@acaciahoist/types/event-log';
+import type { SnapshotStore } from './snapshot-store.js';
+
+interface Options {
+  clock: Clock;
+  store: Pick<LogStore, 'read'>;
+  snapshots: Pick<SnapshotStore, 'read'>;
+  log: EventLog;
+  topic: string;
+  /** How long ended jobs are remembered, in ms. */
+  retentionMs: number;
+  /** Least time in ms between two reads; a follower saves calls with it, an owner wants none. */
+  gapMs: () => number;
+  onApplied: (record: CellRecord, effective: boolean, offset: number) => void;
+  /** The state was replaced by that of a snapshot. */
+  onReloaded: () => void;
+}
+
+/** Longest wait of a read in ms; a store that is away is noticed after this time. */
+const READ_WAIT_MS = 500;
+/** Pause in ms after a read that failed. */
+const RETRY_MS = 100;
+
+/** Keeps a replica of the cell up to date by reading the cell log. */
+export class CellReplica {
+  static create(options: Options): CellReplica {
+    return new CellReplica(options);
+  }
+
+  state: CellState;
+  isLoaded = false;
+  private isStopped = false;
+  private isLost = false;
+  /** Monotonic time at which the newest read that reached the end of the log was sent. */
+  private currentAsOfMs = Number.NEGATIVE_INFINITY;
+  private waiters: { offset: number; resolve: (reached: boolean) => void }[] = [];
+
+  private constructor(private readonly options: Options) {
+    this.state = CellState.create(options.retentionMs);
+  }
+
+  /** Age in ms of what the replica knows. */
+  ageMs(): number {
+    return this.options.clock.monotonicMs() - this.currentAsOfMs;
+  }
+
+  /** Loads the snapshot and follows the log until `stop`. */
+  async run(): Promise<void> {
+    await this.load();
+    while (!this.isStopped) {
+      const sentMs = this.options.clock.monotonicMs();
+      const isCaughtUp = await this.readOnce(sentMs);
+      const gapMs = this.options.gapMs() - (this.options.clock.monotonicMs() - sentMs);
+      if (isCaughtUp && gapMs > 0) await this.pause(gapMs);
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /**
+   * Waits until the replica has applied all that was in the log at the time of the call. False when
+   * that could not be reached within `timeoutMs`.
+   */
+  async sync(timeoutMs: number): Promise<boolean> {
+    const result = await this.options.store.read(this.options.topic, this.state.nextOffset, 0);
+    if (result.kind !== 'records') return false;
+    return this.reach(result.end, timeoutMs);
+  }
+
+  /** Waits until all records before `offset` are applied. */
+  reach(offset: number, timeoutMs: number): Promise<boolean> {
+    if (this.state.nextOffset >= offset) return Promise.resolve(true);
+    return new Promise((resolve) => {
+      const waiter = { offset, resolve };
+      this.waiters.push(waiter);
+      this.options.clock.after(timeoutMs, () => {
+        this.waiters = this.waiters.filter((other) => other !== waiter);
+        resolve(false);
+      });
+    });
+  }
+
+  private async load(): Promise<void> {
+    const { log, retentionMs } = this.options;
+    while (!this.isStopped) {
+      const state = await this.options.snapshots.read(
+        () => CellState.create(retentionMs),
+        retentionMs,
+      );
+      // An older snapshot than the replica has nothing to add.
+      if (state !== undefined && state.nextOffset >= this.state.nextOffset) {
+        this.state = state;
+        this.isLoaded = true;
+        log('info', 'snapshot-loaded', { offset: state.nextOffset, jobs: state.jobs.size });
+        this.options.onReloaded();
+        return;
+      }
+      await this.pause(RETRY_MS);
+    }
+  }
+
+  /** True when the replica has reached the end of the log. */
+  private async readOnce(sentMs: number): Promise<boolean> {
+    const { store, topic, log } = this.options;
+    const result = await store.read(topic, this.state.nextOffset, READ_WAIT_MS);
+    if (this.isStopped) return true;
+    if (result.kind === 'failed') {
+      if (!this.isLost) log('warn', 'cell-log-lost', { reason: result.reason, ageMs: Math.round(this.ageMs()) });
+      this.isLost = true;
+      await this.pause(RETRY_MS);
+      return true;
+    }
+    if (this.isLost) log('info', 'cell-log-regained', { offset: this.state.nextOffset });
+    this.isLost = false;
+    if (result.kind === 'expired') {
+      await this.skipExpired(result.first);
+      return false;
+    }
+    for (const data of result.records) this.applyOne(data);
+    this.settleWaiters();
+    if (this.state.nextOffset < result.end) return false;
+    this.currentAsOfMs = sentMs;
+    return true;
+  }
+
+  private applyOne(data: Uint8Array): void {
+    const offset = this.state.nextOffset;
+    const record = recordCodec.decode(data);
+    if (record === undefined) {
+      this.options.log('error', 'record-unreadable', { offset, bytes: data.byteLength });
+      this.state.nextOffset += 1;
+      return;
+    }
+    const effective = this.state.apply(record);
+    this.options.onApplied(record, effective, offset);
+  }
+
+  /** The log no longer holds the next record: continues from a snapshot. */
+  private async skipExpired(first: number): Promise<void> {
+    const { log } = this.options;
+    log('warn', 'cell-log-expired', { next: this.state.nextOffset, first });
+    await this.load();
+    if (this.state.nextOffset >= first) return;
+    log('error', 'records-lost', { next: this.state.nextOffset, first });
+    this.state.nextOffset = first;
+  }
+
+  private settleWaiters(): void {
+    if (this.waiters.length === 0) return;
+    const reached = this.waiters.filter((waiter) => waiter.offset <= this.state.nextOffset);
+    this.waiters = this.waiters.filter((waiter) => waiter.offset > this.state.nextOffset);
+    for (const waiter of reached) waiter.resolve(true);
+  }
+
+  private pause(ms: number): Promise<void> {
+    return new Promise((resolve) => this.options.clock.after(ms, resolve));
+  }
+}
--- /dev/null
+++ b/packages/cell-log/src/keyed-follower.ts
@@ -0,0 +1,88 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { KeyedRecord } from '@acaciahoist/cell-types/keyed-record';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { EventLog } from '@acaciahoist/types/event-log';
+
+interface Options {
+  clock: Clock;
+  store: Pick<LogStore, 'newest' | 'read' | 'decodeKeyed'>;
+  log: EventLog;
+  topic: string;
+  /** Wait of a read in ms; 0 to look at intervals. */
+  waitMs: number;
+  /** Least time in ms between two reads. */
+  gapMs: number;
+  /** Time in ms after which all keys are read again; 0 for never. */
+  reloadMs: number;
+  onRecord: (record: KeyedRecord) => void;
+  /** All keys that the topic holds at the moment. */
+  onReloaded: (records: readonly KeyedRecord[]) => void;
+}
+
+/** Pause in ms after a read that failed. */
+const RETRY_MS = 150;
+
+/** Follows the newest records of a keyed topic. */
+export class KeyedFollower {
+  static create(options: Options): KeyedFollower {
+    return new KeyedFollower(options);
+  }
+
+  private isStopped = false;
+  private isLost = false;
+  private nextOffset: number | undefined;
+  private reloadedMs = 0;
+
+  private constructor(private readonly options: Options) {}
+
+  async run(): Promise<void> {
+    const { clock, gapMs, reloadMs } = this.options;
+    while (!this.isStopped) {
+      const isDue = reloadMs > 0 && clock.monotonicMs() - this.reloadedMs > reloadMs;
+      const succeeded =
+        this.nextOffset === undefined || isDue ? await this.reload() : await this.read();
+      this.note(succeeded);
+      await new Promise<void>((resolve) => clock.after(succeeded ? gapMs : RETRY_MS, resolve));
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async reload(): Promise<boolean> {
+    const page = await this.options.store.newest(this.options.topic);
+    if (page === undefined) return false;
+    this.nextOffset = page.end;
+    this.reloadedMs = this.options.clock.monotonicMs();
+    if (!this.isStopped) this.options.onReloaded(page.records);
+    return true;
+  }
+
+  private async read(): Promise<boolean> {
+    const { store, topic, waitMs, onRecord } = this.options;
+    const from = this.nextOffset ?? 0;
+    const result = await store.read(topic, from, waitMs);
+    if (result.kind === 'failed') return false;
+    if (result.kind === 'expired') {
+      this.nextOffset = undefined;
+      return true;
+    }
+    this.nextOffset = from + result.records.length;
+    for (const data of result.records) {
+      const record = store.decodeKeyed(data);
+      if (record === undefined)
+        this.options.log('warn', 'record-unreadable', { topic, bytes: data.byteLength });
+      else if (!this.isStopped) onRecord(record);
+    }
+    return true;
+  }
+
+  private note(succeeded: boolean): void {
+    if (succeeded !== this.isLost) return;
+    this.isLost = !succeeded;
+    this.options.log(succeeded ? 'info' : 'warn', succeeded ? 'topic-regained' : 'topic-lost', {
+      topic: this.options.topic,
+    });
+  }
+}
--- /dev/null
+++ b/packages/cell-log/src/snapshot-store.ts
@@ -0,0 +1,86 @@
+import { Packr } from 'msgpackr';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import { snapshotCodec } from '@acaciahoist/cell-state/snapshot-codec';
+import type { CellState } from '@acaciahoist/cell-state';
+import type { EventLog } from '@acaciahoist/types/event-log';
+import { AppendOutcome } from './append-outcome.js';
+
+const packr = new Packr({ useRecords: false });
+/** Bytes of a chunk; a record of the store takes 256 KiB. */
+const CHUNK_BYTES = 200_000;
+
+interface Head {
+  slot: string;
+  chunks: number;
+  offset: number;
+}
+
+interface Options {
+  store: Pick<LogStore, 'newest' | 'encodeKeyed'>;
+  topic: string;
+  log: EventLog;
+}
+
+/**
+ * Keeps the newest snapshot of the cell in a keyed topic. Two slots take turns, and the head record is
+ * written last, so that a snapshot that was not finished never hides the one before it.
+ */
+export class SnapshotStore {
+  static create(options: Options): SnapshotStore {
+    return new SnapshotStore(options);
+  }
+
+  private slot = 'a';
+
+  private constructor(private readonly options: Options) {}
+
+  /** Writes through `append`, which fences former owners. True when the snapshot is in force. */
+  async write(
+    state: CellState,
+    append: (records: Uint8Array[]) => Promise<AppendOutcome>,
+  ): Promise<boolean> {
+    const offset = state.nextOffset;
+    const data = snapshotCodec.encode(state);
+    const slot = this.slot;
+    this.slot = slot === 'a' ? 'b' : 'a';
+    const chunks = Math.ceil(data.byteLength / CHUNK_BYTES);
+    const records: Uint8Array[] = [];
+    for (let index = 0; index < chunks; index += 1) {
+      const part = data.subarray(index * CHUNK_BYTES, (index + 1) * CHUNK_BYTES);
+      records.push(this.encode(`${slot}.${index}`, { offset, part }));
+    }
+    const head: Head = { slot, chunks, offset };
+    for (const record of records)
+      if ((await append([record])) !== AppendOutcome.appended) return false;
+    return (await append([this.encode('head', head)])) === AppendOutcome.appended;
+  }
+
+  /**
+   * Reads the newest snapshot; a state without jobs when there is none. Undefined when the store did
+   * not answer or a snapshot was being replaced while it was read.
+   */
+  async read(empty: () => CellState, retentionMs: number): Promise<CellState | undefined> {
+    const page = await this.options.store.newest(this.options.topic);
+    if (page === undefined) return undefined;
+    const values = new Map(page.records.map((record) => [record.key, record.value]));
+    const headData = values.get('head');
+    if (headData === undefined) return empty();
+    const head = packr.unpack(headData) as Head;
+    this.slot = head.slot === 'a' ? 'b' : 'a';
+    const parts: Uint8Array[] = [];
+    for (let index = 0; index < head.chunks; index += 1) {
+      const chunk = values.get(`${head.slot}.${index}`);
+      const content = chunk && (packr.unpack(chunk) as { offset: number; part: Uint8Array });
+      if (content?.offset !== head.offset) {
+        this.options.log('warn', 'snapshot-incomplete', { offset: head.offset, chunk: index });
+        return undefined;
+      }
+      parts.push(content.part);
+    }
+    return snapshotCodec.decode(Buffer.concat(parts), retentionMs);
+  }
+
+  private encode(key: string, value: unknown): Uint8Array {
+    return this.options.store.encodeKeyed({ key, value: packr.pack(value) });
+  }
+}
--- /dev/null
+++ b/packages/cell-owner/src/advice-desk.ts
@@ -0,0 +1,81 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { Advice } from '@acaciahoist/cell-types/advice';
+import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
+
+interface Lane {
+  name: string;
+  ask: AdviceClient;
+  isBusy: boolean;
+  /** Monotonic time at which the helper was last heard of; infinite for the own lane. */
+  seenMs: number;
+}
+
+/** A helper that was not heard of for this long is not asked; helpers report every second. */
+const HELPER_SILENCE_MS = 3_500;
+/** One lane in this many serves prompt steps only. */
+const LANES_PER_PROMPT_LANE = 3;
+
+/**
+ * Load pattern: advice as the bottleneck. The service handles one call at a time for each calling
+ * machine, and a call for a heavy step takes as long as dozens for prompt ones. Calls are spread over
+ * the processes of the system, each a lane with one call at a time, and some lanes are kept for prompt
+ * steps.
+ */
+export class AdviceDesk {
+  static create(options: { clock: Clock; own: AdviceClient }): AdviceDesk {
+    return new AdviceDesk(options.clock, options.own);
+  }
+
+  private readonly lanes: Lane[];
+
+  private constructor(
+    private readonly clock: Clock,
+    own: AdviceClient,
+  ) {
+    this.lanes = [{ name: 'own', ask: own, isBusy: false, seenMs: Number.POSITIVE_INFINITY }];
+  }
+
+  /** A helper reported; `ask` calls the service through it. */
+  seen(name: string, ask: AdviceClient): void {
+    const lane = this.lanes.find((candidate) => candidate.name === name);
+    if (lane !== undefined) lane.seenMs = this.clock.monotonicMs();
+    else this.lanes.push({ name, ask, isBusy: false, seenMs: this.clock.monotonicMs() });
+  }
+
+  size(): number {
+    return this.lanes.length;
+  }
+
+  /** Asks through a free lane; undefined when none is free for this kind of step. */
+  tryAsk(
+    step: string,
+    workers: readonly string[],
+    isPrompt: boolean,
+    timeoutMs: number,
+  ): Promise<Advice> | undefined {
+    const lane = this.freeLane(isPrompt);
+    if (lane === undefined) return undefined;
+    lane.isBusy = true;
+    return this.askThrough(lane, step, workers, timeoutMs);
+  }
+
+  private async askThrough(
+    lane: Lane,
+    step: string,
+    workers: readonly string[],
+    timeoutMs: number,
+  ): Promise<Advice> {
+    const advice = await lane.ask(step, workers, timeoutMs);
+    lane.isBusy = false;
+    if (advice.kind === 'failed' && lane.name !== 'own') lane.seenMs = Number.NEGATIVE_INFINITY;
+    return advice;
+  }
+
+  private freeLane(isPrompt: boolean): Lane | undefined {
+    const oldestMs = this.clock.monotonicMs() - HELPER_SILENCE_MS;
+    const live = this.lanes.filter((lane) => lane.seenMs >= oldestMs);
+    const promptLanes = live.length === 1 ? 0 : Math.ceil(live.length / LANES_PER_PROMPT_LANE);
+    const first = isPrompt ? 0 : promptLanes;
+    return live.slice(first).find((lane) => !lane.isBusy);
+  }
+}
--- /dev/null
+++ b/packages/cell-owner/src/limits.ts
@@ -0,0 +1,39 @@
+/** Times of the owner in ms, with the reason for each. */
+export const limits = {
+  /** Lease of what runs: outlasts a cut of 6 s and the 2 s until the next hold call. */
+  leaseMs: 8_000,
+  /** Without an acknowledged append for this long the owner extends no lease any more. */
+  extendWithoutStoreMs: 6_000,
+  /** Steady clocks of workers may be this share slow. */
+  clockDrift: 0.02,
+  /** Added to every bound that rests on another machine's clock. */
+  clockMarginMs: 300,
+  /** Wait of a hold call: at most one look a second at a worker whose runs go on. */
+  holdWaitMs: 1_000,
+  /** Pause after a hold call that returned ends, so that one look serves several of them. */
+  holdGapMs: 50,
+  /** Pause after a hold call that failed. */
+  holdRetryMs: 150,
+  /** A worker that answered nothing for this long takes no starts. */
+  silentWorkerMs: 2_400,
+  /** Time for which a worker that refused a start as unhealthy takes none. */
+  unhealthyPauseMs: 1_000,
+  /** Least time between two stop orders for the same run. */
+  stopRepeatMs: 300,
+  /** Least time between two planning rounds. */
+  planGapMs: 8,
+  /** A planning round runs at least this often: tickets expire and set times come. */
+  planTickMs: 100,
+  /** Records that wait this long to come back show a store that is away: no more starts are decided. */
+  staleProposalMs: 400,
+  /** A start is sent only this soon after it was decided. */
+  maxDecisionAgeMs: 900,
+  /** Interval of the owner's sign of life in the log. */
+  renewMs: 500,
+  /** Interval of snapshots; the log keeps 20 s. */
+  snapshotMs: 4_000,
+  /** An entry that was removed names a worker still for this long: entries come back within 2 s. */
+  missingEntryMs: 3_000,
+  /** Shortest ticket life that still lets a start be recorded and sent. */
+  ticketMarginMs: 100,
+} as const;
--- /dev/null
+++ b/packages/cell-owner/src/worker-link.ts
@@ -0,0 +1,148 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
+import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
+import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
+import { limits } from './limits.js';
+
+type Held = Extract<HoldReply, { kind: 'held' }>;
+
+interface Options {
+  clock: Clock;
+  entry: WorkerEntry;
+  client: WorkerClient;
+  token: number;
+  /** False when the owner has lost the store for too long to extend leases. */
+  mayExtend: () => boolean;
+  onHeld: (link: WorkerLink, reply: Held, sentMs: number) => void;
+  onFenced: () => void;
+  /** This life of the worker is over. */
+  onGone: (link: WorkerLink, reason: string) => void;
+  onReachable: (link: WorkerLink, reachable: boolean, reason: string) => void;
+}
+
+/** The calls to one life of a worker: keeps its lease, and learns what runs there and what has ended. */
+export class WorkerLink {
+  static create(options: Options): WorkerLink {
+    return new WorkerLink(options);
+  }
+
+  entry: WorkerEntry;
+  /** Monotonic time at which the entry was found missing; 0 while it is there. */
+  missingSinceMs = 0;
+  /** Monotonic time up to which the worker takes no starts. */
+  pausedUntilMs = 0;
+  /** True once the worker has seen this owner's token. */
+  isFenced = false;
+  isReachable = true;
+  /** Upper bound of the monotonic time at which all leases that this owner gave are over. */
+  leaseOverMs: number;
+  /** Highest number of the ends that were handed to the owner. */
+  seenEnd = 0;
+  /** Ends up to this number are recorded. */
+  acknowledgedEnd = 0;
+  private isStopped = false;
+  private answeredMs: number;
+  private clockReading: { workerMs: number; atMs: number } | undefined;
+
+  private constructor(private readonly options: Options) {
+    this.entry = options.entry;
+    this.answeredMs = options.clock.monotonicMs();
+    this.leaseOverMs = this.answeredMs;
+  }
+
+  get id(): string {
+    return this.entry.id;
+  }
+
+  get client(): WorkerClient {
+    return this.options.client;
+  }
+
+  /** Time in ms since the worker last answered. */
+  silentMs(): number {
+    return this.options.clock.monotonicMs() - this.answeredMs;
+  }
+
+  isStartable(): boolean {
+    return (
+      this.isFenced &&
+      this.isReachable &&
+      !this.entry.draining &&
+      this.missingSinceMs === 0 &&
+      this.clockReading !== undefined &&
+      this.silentMs() < limits.silentWorkerMs &&
+      this.options.clock.monotonicMs() >= this.pausedUntilMs
+    );
+  }
+
+  /** End of a lease that begins now, on the worker's clock; notes until when it may last. */
+  grantLease(): number {
+    const { clockReading } = this;
+    if (clockReading === undefined || !this.options.mayExtend()) return 0;
+    const sinceMs = this.options.clock.monotonicMs() - clockReading.atMs;
+    const lengthMs = (sinceMs + limits.leaseMs) / (1 - limits.clockDrift);
+    this.leaseOverMs = clockReading.atMs + lengthMs + limits.clockMarginMs;
+    return Math.round(clockReading.workerMs + sinceMs + limits.leaseMs);
+  }
+
+  /** Keeps the worker held until `stop`. */
+  async run(): Promise<void> {
+    const { clock, client, token } = this.options;
+    while (!this.isStopped) {
+      const sentMs = clock.monotonicMs();
+      const reply = await client.hold({
+        token,
+        leaseUntilMs: this.grantLease(),
+        acknowledgedEnd: this.acknowledgedEnd,
+        waitMs: this.clockReading === undefined || !this.isReachable ? 0 : limits.holdWaitMs,
+      });
+      const pauseMs = this.take(reply, sentMs);
+      if (pauseMs > 0) await new Promise<void>((resolve) => clock.after(pauseMs, resolve));
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.options.client.close();
+  }
+
+  /** Takes a reply; returns the pause in ms before the next call. */
+  private take(reply: HoldReply, sentMs: number): number {
+    if (this.isStopped) return 0;
+    switch (reply.kind) {
+      case 'held':
+        return this.takeHeld(reply, sentMs);
+      case 'fenced':
+        this.options.onFenced();
+        return limits.holdRetryMs;
+      case 'gone':
+        this.options.onGone(this, reply.reason);
+        return 0;
+      case 'failed':
+        if (this.isReachable) {
+          this.isReachable = false;
+          this.options.onReachable(this, false, reply.reason);
+        }
+        return limits.holdRetryMs;
+    }
+  }
+
+  private takeHeld(reply: Held, sentMs: number): number {
+    const nowMs = this.options.clock.monotonicMs();
+    if (reply.born !== this.entry.born) {
+      this.options.onGone(this, `born ${reply.born} instead of ${this.entry.born}`);
+      return 0;
+    }
+    const isFirst = this.clockReading === undefined;
+    this.clockReading = { workerMs: reply.clockMs, atMs: nowMs };
+    this.answeredMs = nowMs;
+    this.isFenced = true;
+    if (!this.isReachable) {
+      this.isReachable = true;
+      this.options.onReachable(this, true, '');
+    }
+    this.options.onHeld(this, reply, sentMs);
+    if (isFirst) return 0;
+    return reply.ended.length > 0 ? limits.holdGapMs : 0;
+  }
+}
--- /dev/null
+++ b/packages/cell-planner/src/planned-worker.ts
@@ -0,0 +1,15 @@
+import type { Room } from './room.js';
+
+/** A worker as the planner sees it. The planner takes room away from `free` while it plans. */
+export interface PlannedWorker {
+  id: string;
+  service: string;
+  rack: string;
+  labels: readonly string[];
+  total: Room;
+  free: Room;
+  /** Runs in order of their expected end, with the time in ms until then. */
+  runs: readonly { endsInMs: number; size: Room }[];
+  /** False for a worker that takes no starts now: draining, unreachable or on probation. */
+  startable: boolean;
+}
--- /dev/null
+++ b/packages/cell-planner/src/room.ts
@@ -0,0 +1,6 @@
+/** Room of a worker or size of a task. */
+export interface Room {
+  millicores: number;
+  memoryMib: number;
+  accelerators: number;
+}
--- /dev/null
+++ b/packages/cell-process/src/cell-metrics.ts
@@ -0,0 +1,42 @@
+import { Counter, Histogram, Registry } from 'prom-client';
+
+/** Bounds of latency buckets in ms: from a cached answer to the deadline of a client. */
+const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 250, 500, 1_000, 3_000];
+
+/** Counters and latency histograms of a process, served as text. */
+export class CellMetrics {
+  static create(): CellMetrics {
+    return new CellMetrics();
+  }
+
+  private readonly registry = new Registry();
+  private readonly counters = new Map<string, Counter>();
+  private readonly requests: Histogram;
+
+  private constructor() {
+    this.requests = new Histogram({
+      name: 'request_ms',
+      help: 'Time from a whole request to its answer by method and status',
+      labelNames: ['method', 'status'],
+      buckets: BUCKETS_MS,
+      registers: [this.registry],
+    });
+  }
+
+  count(name: string, by = 1): void {
+    let counter = this.counters.get(name);
+    if (counter === undefined) {
+      counter = new Counter({ name, help: name.replaceAll('_', ' '), registers: [this.registry] });
+      this.counters.set(name, counter);
+    }
+    counter.inc(by);
+  }
+
+  observeRequest(method: string, status: number, ms: number): void {
+    this.requests.observe({ method, status: String(status) }, ms);
+  }
+
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/cell-process/src/index.ts
@@ -0,0 +1,388 @@
+import type Result from 'true-myth/result';
+import ResultModule from 'true-myth/result';
+import type { Clock } from '@acaciahoist/clock';
+import { Failure } from '@acaciahoist/errors';
+import { ErrorKind } from '@acaciahoist/errors/error-kind';
+import { CellFront } from '@acaciahoist/cell-front';
+import { CellReplica } from '@acaciahoist/cell-log';
+import { Appender } from '@acaciahoist/cell-log/appender';
+import { CellOwnership } from '@acaciahoist/cell-log/cell-ownership';
+import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
+import { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
+import { CellOwner } from '@acaciahoist/cell-owner';
+import { recordCodec } from '@acaciahoist/cell-state/record-codec';
+import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
+import type { CellConfiguration } from '@acaciahoist/cell-types/cell-configuration';
+import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
+import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
+import { PeerClient } from '@acaciahoist/peer-socket';
+import { PeerServer } from '@acaciahoist/peer-socket/peer-server';
+import type { EventLog } from '@acaciahoist/types/event-log';
+import type { ProcessIdentity } from '@acaciahoist/types/process-identity';
+import { isAdvice } from './is-advice.js';
+import { OwnerLog } from './owner-log.js';
+
+interface Options {
+  clock: Clock;
+  log: EventLog;
+  count: (name: string, by?: number) => void;
+  store: LogStore;
+  /** Name of the machine, for logs. */
+  name: string;
+  /** Random text that tells the lives of the process apart. */
+  incarnation: string;
+  dataCentre: string;
+  /** Address `ip:port` for calls between the processes. */
+  peerAddress: string;
+  topics: { cell: string; snapshots: string; configuration: string; workers: string };
+  configurationKey: string;
+  /** How long ended jobs are remembered, in ms. */
+  retentionMs: number;
+  /** Silence of the owner in ms after which another process takes over. */
+  ownerSilenceMs: number;
+  /** Random share of a second by which this process delays its claims, in ms. */
+  claimJitterMs: number;
+  decodeConfiguration: (data: Uint8Array) => CellConfiguration | undefined;
+  decodeWorkerEntry: (id: string, data: Uint8Array) => WorkerEntry | undefined;
+  connect: (entry: WorkerEntry) => WorkerClient;
+  advise: AdviceClient;
+}
+
+/** Time in ms between two reads of a process that is not the owner; saves calls to the store. */
+const FOLLOWER_GAP_MS = 40;
+/** The configuration must be in force within 2 s: a read waits this long in ms at most. */
+const CONFIGURATION_WAIT_MS = 500;
+/** Time in ms between two reads of worker entries; a drain must be known well within 2 s. */
+const WORKERS_GAP_MS = 250;
+/** Entries are read again in full at this interval in ms, so that missing ones are noticed. */
+const WORKERS_RELOAD_MS = 2_500;
+const OFFER_HELP_MS = 1_000;
+/** Longest time in ms that a stopping owner waits until its release is stored. */
+const RELEASE_MS = 700;
+/** A replica older than this in ms makes the process not ready: another one serves better. */
+const READY_AGE_MS = 2_000;
+/** Limits of connections between the processes, in ms. */
+const PEER = { probeMs: 1_000, probeTimeoutMs: 700, connectTimeoutMs: 700 } as const;
+const MAX_PEER_CONNECTIONS = 256;
+
+/** One process of the cell: serves clients from its replica, and owns the cell when it is its turn. */
+export class CellProcess {
+  static create(options: Options): CellProcess {
+    return new CellProcess(options);
+  }
+
+  readonly front: CellFront;
+  configuration: CellConfiguration | undefined;
+  private readonly replica: CellReplica;
+  private readonly ownership: CellOwnership;
+  private readonly appender: Appender;
+  private readonly snapshots: SnapshotStore;
+  private readonly configurationFollower: KeyedFollower;
+  private readonly peerServer: PeerServer;
+  private readonly peers: PeerClient;
+  private readonly identity: ProcessIdentity;
+  private owner: CellOwner | undefined;
+  private ownerLog: OwnerLog | undefined;
+  private workersFollower: KeyedFollower | undefined;
+  private isStopping = false;
+
+  private constructor(private readonly options: Options) {
+    const { clock, log, store, topics, name, incarnation } = options;
+    const self = `${name}/${incarnation}`;
+    this.identity = {
+      process: options.peerAddress,
+      incarnation,
+      dataCentre: options.dataCentre,
+    };
+    this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
+    this.replica = CellReplica.create({
+      clock,
+      store,
+      log,
+      snapshots: this.snapshots,
+      topic: topics.cell,
+      retentionMs: options.retentionMs,
+      gapMs: () => (this.ownership.isOwning() ? 0 : FOLLOWER_GAP_MS),
+      onApplied: (record, effective) => {
+        this.applied(record, effective);
+      },
+      onReloaded: () => {
+        this.ownership.fenced('reloaded');
+      },
+    });
+    this.ownership = CellOwnership.create({
+      clock,
+      store,
+      log,
+      replica: this.replica,
+      topic: topics.cell,
+      self,
+      address: options.peerAddress,
+      silenceMs: options.ownerSilenceMs,
+      jitterMs: options.claimJitterMs,
+      onOwned: (token) => {
+        this.becomeOwner(token);
+      },
+      onLost: (reason) => {
+        this.ceaseOwner(reason);
+      },
+    });
+    this.appender = Appender.create({
+      clock,
+      store,
+      log,
+      topic: topics.cell,
+      producer: `front.${self}`,
+      epoch: 1,
+      sequence: 0,
+      insists: false,
+      onFenced: () => {
+        log('error', 'front-fenced', {});
+      },
+    });
+    this.front = CellFront.create({
+      clock,
+      log,
+      count: options.count,
+      state: () => this.replica.state,
+      replicaAgeMs: () => this.replica.ageMs(),
+      sync: (timeoutMs) => this.replica.sync(timeoutMs),
+      append: (record) => this.appender.append([recordCodec.encode(record)]),
+    });
+    this.configurationFollower = KeyedFollower.create({
+      clock,
+      store,
+      log,
+      topic: topics.configuration,
+      waitMs: CONFIGURATION_WAIT_MS,
+      gapMs: 0,
+      reloadMs: 0,
+      onRecord: (record) => {
+        this.takeConfiguration(record.key, record.value);
+      },
+      onReloaded: (records) => {
+        for (const record of records) this.takeConfiguration(record.key, record.value);
+      },
+    });
+    this.peers = PeerClient.create({
+      clock,
+      identity: this.identity,
+      ...PEER,
+      onRefused: () => undefined,
+    });
+    this.peerServer = PeerServer.create({
+      identity: this.identity,
+      listen: options.peerAddress,
+      maxConnections: MAX_PEER_CONNECTIONS,
+      handle: (type, body) => this.answerPeer(type, body),
+      onBadFrame: (message) => {
+        log('warn', 'peer-frame-refused', { message });
+      },
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.peerServer.start();
+    void this.replica.run();
+    void this.configurationFollower.run();
+    this.ownership.start();
+    this.offerHelp();
+  }
+
+  /** True when clients are better served here than by other processes. */
+  isReady(): boolean {
+    return (
+      !this.isStopping &&
+      this.replica.isLoaded &&
+      this.configuration !== undefined &&
+      this.replica.ageMs() < READY_AGE_MS
+    );
+  }
+
+  /** Hands the cell over and stops claiming it; clients are still served. */
+  async handOver(): Promise<void> {
+    this.isStopping = true;
+    this.ownership.stop();
+    this.owner?.stop();
+    if (this.ownerLog !== undefined) {
+      const released = this.ownerLog.append([{ kind: 'release' }]);
+      const timeout = new Promise<void>((resolve) => this.options.clock.after(RELEASE_MS, resolve));
+      await Promise.race([released, timeout]);
+    }
+    this.ceaseOwner('stopping');
+  }
+
+  stop(): void {
+    this.replica.stop();
+    this.configurationFollower.stop();
+    this.peers.stop();
+  }
+
+  describe(): Record<string, unknown> {
+    const { state } = this.replica;
+    return {
+      process: this.options.name,
+      incarnation: this.options.incarnation,
+      ready: this.isReady(),
+      configuration: this.configuration?.version ?? null,
+      owner: state.claim ?? null,
+      owning: this.ownership.isOwning(),
+      replica: {
+        nextOffset: state.nextOffset,
+        ageMs: Math.round(this.replica.ageMs()),
+        jobs: state.jobs.size,
+        ended: state.ended.size,
+      },
+      cell: this.owner?.describe() ?? null,
+      peers: this.peers.describe(),
+    };
+  }
+
+  private applied(record: CellRecord, effective: boolean): void {
+    if (record.kind === 'job') this.front.observeJob(record.job.id);
+    this.ownership.observe(record);
+    this.owner?.observe(record, effective);
+  }
+
+  private takeConfiguration(key: string, value: Uint8Array | undefined): void {
+    if (key !== this.options.configurationKey || value === undefined) return;
+    const configuration = this.options.decodeConfiguration(value);
+    if (configuration === undefined) {
+      this.options.log('error', 'configuration-unreadable', { bytes: value.byteLength });
+      return;
+    }
+    const inForce = this.configuration?.version ?? Number.NEGATIVE_INFINITY;
+    if (configuration.version <= inForce) return;
+    this.configuration = configuration;
+    this.options.log('info', 'configuration-in-force', {
+      version: configuration.version,
+      queues: configuration.queues.length,
+    });
+  }
+
+  private becomeOwner(token: number): void {
+    const { clock, log, count, store, topics } = this.options;
+    this.ceaseOwner('claimed anew');
+    log('info', 'owner-started', { token, jobs: this.replica.state.jobs.size });
+    const ownerLog = OwnerLog.create({
+      clock,
+      store,
+      log,
+      topics,
+      token,
+      snapshots: this.snapshots,
+      state: () => this.replica.state,
+      onFenced: () => {
+        this.ownership.fenced('store');
+      },
+    });
+    const owner = CellOwner.create({
+      clock,
+      log,
+      count,
+      state: this.replica.state,
+      token,
+      append: (records) => {
+        void ownerLog.append(records);
+      },
+      storeSilentMs: () => ownerLog.silentMs(),
+      connect: this.options.connect,
+      advise: this.options.advise,
+      onFenced: () => {
+        this.ownership.fenced('worker');
+      },
+    });
+    this.ownerLog = ownerLog;
+    this.owner = owner;
+    this.workersFollower = KeyedFollower.create({
+      clock,
+      store,
+      log,
+      topic: topics.workers,
+      waitMs: 0,
+      gapMs: WORKERS_GAP_MS,
+      reloadMs: WORKERS_RELOAD_MS,
+      onRecord: (record) => {
+        this.takeWorker(owner, record.key, record.value);
+      },
+      onReloaded: (records) => {
+        for (const record of records) this.takeWorker(owner, record.key, record.value);
+        owner.workersPresent(new Set(records.map((record) => record.key)));
+      },
+    });
+    ownerLog.start();
+    owner.start();
+    void this.workersFollower.run();
+  }
+
+  private takeWorker(owner: CellOwner, id: string, value: Uint8Array | undefined): void {
+    if (value === undefined) {
+      owner.workerMissing(id);
+      return;
+    }
+    const entry = this.options.decodeWorkerEntry(id, value);
+    if (entry === undefined)
+      this.options.log('warn', 'worker-entry-unreadable', { worker: id, bytes: value.byteLength });
+    else owner.workerSeen(entry);
+  }
+
+  private ceaseOwner(reason: string): void {
+    if (this.owner === undefined) return;
+    this.options.log('info', 'owner-stopped', { reason });
+    this.owner.stop();
+    this.ownerLog?.stop();
+    this.workersFollower?.stop();
+    this.owner = undefined;
+    this.ownerLog = undefined;
+    this.workersFollower = undefined;
+  }
+
+  private offerHelp(): void {
+    this.options.clock.after(OFFER_HELP_MS, () => {
+      const { claim } = this.replica.state;
+      const address = claim?.address ?? '';
+      if (!this.isStopping && address !== '' && address !== this.options.peerAddress)
+        void this.peers.call(
+          address,
+          'offer-help',
+          { address: this.options.peerAddress },
+          OFFER_HELP_MS,
+        );
+      if (!this.isStopping) this.offerHelp();
+    });
+  }
+
+  private async answerPeer(type: string, body: unknown): Promise<Result<unknown, Failure>> {
+    if (type === 'offer-help') {
+      const { address } = body as { address: string };
+      this.owner?.helperSeen(address, (step, workers, timeoutMs) =>
+        this.askHelper(address, step, workers, timeoutMs),
+      );
+      return ResultModule.ok({});
+    }
+    if (type === 'advise') {
+      const { step, workers, timeoutMs } = body as {
+        step: string;
+        workers: string[];
+        timeoutMs: number;
+      };
+      return ResultModule.ok({ advice: await this.options.advise(step, workers, timeoutMs) });
+    }
+    return ResultModule.err(Failure.create(ErrorKind.badRequest, `${type} is not served here`));
+  }
+
+  private async askHelper(
+    address: string,
+    step: string,
+    workers: readonly string[],
+    timeoutMs: number,
+  ): ReturnType<AdviceClient> {
+    const reply = await this.peers.call(address, 'advise', { step, workers, timeoutMs }, timeoutMs);
+    if (reply.isErr) return { kind: 'failed', reason: reply.error.message };
+    const { advice } = reply.value;
+    return isAdvice(advice) ? advice : { kind: 'failed', reason: 'malformed reply of a helper' };
+  }
+}
+
--- /dev/null
+++ b/packages/cell-process/src/owner-log.ts
@@ -0,0 +1,106 @@
+import type { Clock } from '@acaciahoist/clock';
+import { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
+import { Appender } from '@acaciahoist/cell-log/appender';
+import { CellOwnership } from '@acaciahoist/cell-log/cell-ownership';
+import type { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
+import { limits } from '@acaciahoist/cell-owner/limits';
+import type { CellState } from '@acaciahoist/cell-state';
+import { recordCodec } from '@acaciahoist/cell-state/record-codec';
+import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { EventLog } from '@acaciahoist/types/event-log';
+
+interface Options {
+  clock: Clock;
+  store: Pick<LogStore, 'append'>;
+  log: EventLog;
+  topics: { cell: string; snapshots: string };
+  token: number;
+  snapshots: SnapshotStore;
+  state: () => CellState;
+  onFenced: () => void;
+}
+
+/** What an owner writes: records of the cell under its epoch, a sign of life, and snapshots. */
+export class OwnerLog {
+  static create(options: Options): OwnerLog {
+    return new OwnerLog(options);
+  }
+
+  private readonly records: Appender;
+  private readonly snapshotRecords: Appender;
+  private readonly cancelTimers: (() => void)[] = [];
+  private isStopped = false;
+  private isRenewing = false;
+  private isWritingSnapshot = false;
+  private acknowledgedMs: number;
+
+  private constructor(private readonly options: Options) {
+    const { clock, store, log, topics, token, onFenced } = options;
+    this.acknowledgedMs = clock.monotonicMs();
+    const common = { clock, store, log, epoch: token, insists: true, onFenced };
+    const producer = CellOwnership.producer;
+    // The claim itself was the append with sequence number 0.
+    this.records = Appender.create({ ...common, topic: topics.cell, producer, sequence: 1 });
+    this.snapshotRecords = Appender.create({
+      ...common,
+      topic: topics.snapshots,
+      producer,
+      sequence: 0,
+    });
+  }
+
+  start(): void {
+    this.repeat(0, limits.renewMs, () => {
+      void this.renew();
+    });
+    this.repeat(1, limits.snapshotMs, () => {
+      void this.writeSnapshot();
+    });
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    for (const cancel of this.cancelTimers) cancel();
+    this.records.close();
+    this.snapshotRecords.close();
+  }
+
+  /** Age in ms of the newest append that was acknowledged, counted from before it was sent. */
+  silentMs(): number {
+    return this.options.clock.monotonicMs() - this.acknowledgedMs;
+  }
+
+  async append(records: CellRecord[]): Promise<void> {
+    const sentMs = this.options.clock.monotonicMs();
+    const outcome = await this.records.append(records.map((record) => recordCodec.encode(record)));
+    if (outcome === AppendOutcome.appended)
+      this.acknowledgedMs = Math.max(this.acknowledgedMs, sentMs);
+  }
+
+  private async renew(): Promise<void> {
+    if (this.isRenewing) return;
+    this.isRenewing = true;
+    await this.append([{ kind: 'renew', wallMs: this.options.clock.wallMs() }]);
+    this.isRenewing = false;
+  }
+
+  private async writeSnapshot(): Promise<void> {
+    if (this.isWritingSnapshot) return;
+    this.isWritingSnapshot = true;
+    const { snapshots, state, log } = this.options;
+    const offset = state().nextOffset;
+    const written = await snapshots.write(state(), (records) =>
+      this.snapshotRecords.append(records),
+    );
+    if (!written && !this.isStopped) log('warn', 'snapshot-not-written', { offset });
+    this.isWritingSnapshot = false;
+  }
+
+  private repeat(index: number, intervalMs: number, run: () => void): void {
+    this.cancelTimers[index] = this.options.clock.after(intervalMs, () => {
+      run();
+      if (!this.isStopped) this.repeat(index, intervalMs, run);
+    });
+  }
+}
--- /dev/null
+++ b/packages/cell-state/src/index.ts
@@ -0,0 +1,232 @@
+import type { CellJob } from '@acaciahoist/cell-types';
+import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
+import { RunEnd } from '@acaciahoist/cell-types/run-end';
+import type { CellOwnerClaim } from './cell-owner-claim.js';
+import type { EndedJob } from './ended-job.js';
+import type { JobProgress } from './job-progress.js';
+import type { LeftoverRun } from './leftover-run.js';
+import type { StepProgress } from './step-progress.js';
+import type { TaskProgress } from './task-progress.js';
+import { taskName } from './task-name.js';
+
+/**
+ * The state of the cell: a deterministic reduction of the cell log. Every process holds a replica, so
+ * that any of them can answer clients and take over from the owner.
+ */
+export class CellState {
+  /** `retentionMs`: how long ended jobs are remembered, in log time. */
+  static create(retentionMs: number): CellState {
+    return new CellState(retentionMs);
+  }
+
+  readonly jobs = new Map<string, JobProgress>();
+  readonly ended = new Map<string, EndedJob>();
+  /** Accepted jobs without a started task, by queue; jobs with set times are not counted. */
+  readonly pending = new Map<string, number>();
+  claim: CellOwnerClaim | undefined;
+  /** Offset of the next record to apply. */
+  nextOffset = 0;
+  /** Newest Unix time that an owner recorded. */
+  logTimeMs = 0;
+
+  private constructor(private readonly retentionMs: number) {}
+
+  /** Applies the record at `nextOffset`; returns whether it changed the state. */
+  apply(record: CellRecord): boolean {
+    const offset = this.nextOffset;
+    this.nextOffset += 1;
+    switch (record.kind) {
+      case 'claim':
+        this.claim = {
+          owner: record.owner,
+          address: record.address,
+          token: offset + 1,
+          released: false,
+        };
+        this.advanceTime(record.wallMs);
+        return true;
+      case 'renew':
+        this.advanceTime(record.wallMs);
+        return true;
+      case 'release':
+        if (this.claim !== undefined) this.claim = { ...this.claim, released: true };
+        return true;
+      case 'job':
+        return this.accept(record.job, offset);
+      case 'cancel':
+        return this.finish(record.id, 'cancelled');
+      case 'start':
+        return this.place(record.task, record.run, record.worker);
+      case 'end':
+        return this.endRun(record.task, record.run, record.how, record.saved);
+    }
+  }
+
+  /** State of a job as clients see it; undefined for an unknown job. */
+  outcomeOf(id: string): JobOutcome | undefined {
+    const live = this.jobs.get(id);
+    if (live !== undefined) return live.begun ? JobOutcome.running : JobOutcome.queued;
+    return this.ended.get(id)?.outcome;
+  }
+
+  /** The progress of a task of a live job. */
+  taskOf(name: string): { progress: JobProgress; step: StepProgress; task: TaskProgress } | undefined {
+    const ref = taskName.parse(name);
+    if (ref === undefined) return undefined;
+    const progress = this.jobs.get(ref.job);
+    const step = progress?.occurrences[ref.occurrence]?.[ref.step];
+    const task = step?.tasks[ref.index];
+    if (progress === undefined || step === undefined || task === undefined) return undefined;
+    return { progress, step, task };
+  }
+
+  /** The worker of a run that has not ended, of a live or an ended job. */
+  placementOf(name: string): { run: number; worker: string } | undefined {
+    const found = this.taskOf(name);
+    if (found !== undefined)
+      return found.task.phase === 'placed'
+        ? { run: found.task.run, worker: found.task.worker }
+        : undefined;
+    return this.ended.get(name.slice(0, 16))?.leftovers.get(name);
+  }
+
+  /** Counts jobs of the queue that wait for their first start. */
+  pendingOf(queue: string): number {
+    return this.pending.get(queue) ?? 0;
+  }
+
+  /** Adds a live job to the state; used for accepted jobs and for those of a snapshot. */
+  restore(progress: JobProgress): void {
+    this.jobs.set(progress.job.id, progress);
+    if (!progress.begun && progress.job.firstRunMs === 0) this.countPending(progress, 1);
+  }
+
+  private accept(job: CellJob, offset: number): boolean {
+    if (this.jobs.has(job.id) || this.ended.has(job.id)) return false;
+    const occurrences = Array.from({ length: job.occurrences }, () =>
+      job.steps.map(
+        (step): StepProgress => ({
+          tasks: Array.from({ length: step.count }, () => ({
+            phase: 'waiting',
+            run: 0,
+            worker: '',
+            failures: 0,
+            checkpoint: '',
+          })),
+          done: 0,
+          placed: 0,
+          gangFailures: 0,
+          lastFailedRun: 0,
+        }),
+      ),
+    );
+    this.restore({ job, offset, occurrences, begun: false });
+    return true;
+  }
+
+  private place(name: string, run: number, worker: string): boolean {
+    const found = this.taskOf(name);
+    if (found === undefined) return false;
+    const { progress, step, task } = found;
+    if (task.phase !== 'waiting' || run <= task.run) return false;
+    task.phase = 'placed';
+    task.run = run;
+    task.worker = worker;
+    step.placed += 1;
+    if (!progress.begun) {
+      progress.begun = true;
+      if (progress.job.firstRunMs === 0) this.countPending(progress, -1);
+    }
+    return true;
+  }
+
+  private endRun(name: string, run: number, how: RunEnd, saved: string): boolean {
+    const found = this.taskOf(name);
+    if (found === undefined) {
+      const leftovers = this.ended.get(name.slice(0, 16))?.leftovers;
+      return leftovers?.get(name)?.run === run && leftovers.delete(name);
+    }
+    const { progress, step, task } = found;
+    if (task.phase !== 'placed' || task.run !== run) return false;
+    const definition = stepOf(progress, name);
+    task.phase = 'waiting';
+    step.placed -= 1;
+    if (saved !== '') task.checkpoint = saved;
+    if (definition.longRunning) return true;
+    if (how === RunEnd.done) this.markDone(step, task, definition.gang);
+    else if (how === RunEnd.failed) this.markFailed(progress, step, task, definition.gang, run);
+    if (progress.occurrences.every((steps) => steps.every((entry) => entry.done === entry.tasks.length)))
+      this.finish(progress.job.id, 'completed');
+    return true;
+  }
+
+  /** The end of one member stands for the whole gang. */
+  private markDone(step: StepProgress, task: TaskProgress, gang: boolean): void {
+    if (!gang) {
+      task.phase = 'done';
+      step.done += 1;
+      return;
+    }
+    for (const member of step.tasks) member.phase = 'done';
+    step.done = step.tasks.length;
+    step.placed = 0;
+  }
+
+  private markFailed(
+    progress: JobProgress,
+    step: StepProgress,
+    task: TaskProgress,
+    gang: boolean,
+    run: number,
+  ): void {
+    if (gang && step.lastFailedRun === run) return;
+    step.lastFailedRun = run;
+    task.failures += 1;
+    step.gangFailures += 1;
+    const failures = gang ? step.gangFailures : task.failures;
+    if (failures >= progress.job.queue.maxAttempts) this.finish(progress.job.id, 'failed');
+  }
+
+  private finish(id: string, outcome: EndedJob['outcome']): boolean {
+    const progress = this.jobs.get(id);
+    if (progress === undefined) return false;
+    const leftovers = new Map<string, LeftoverRun>();
+    progress.occurrences.forEach((steps, occurrence) => {
+      steps.forEach((entry, step) => {
+        const size = progress.job.steps[step];
+        if (size === undefined || entry.placed === 0) return;
+        entry.tasks.forEach((task, index) => {
+          if (task.phase !== 'placed') return;
+          const name = taskName.format({ job: id, occurrence, step, index });
+          leftovers.set(name, { run: task.run, worker: task.worker, size });
+        });
+      });
+    });
+    if (!progress.begun && progress.job.firstRunMs === 0) this.countPending(progress, -1);
+    this.jobs.delete(id);
+    this.ended.set(id, { outcome, endedMs: this.logTimeMs, leftovers });
+    return true;
+  }
+
+  private countPending(progress: JobProgress, by: number): void {
+    const queue = progress.job.queue.name;
+    this.pending.set(queue, (this.pending.get(queue) ?? 0) + by);
+  }
+
+  private advanceTime(wallMs: number): void {
+    if (wallMs <= this.logTimeMs) return;
+    this.logTimeMs = wallMs;
+    // Insertion order is the order of ends, so the oldest come first.
+    for (const [id, job] of this.ended) {
+      if (job.endedMs + this.retentionMs > this.logTimeMs) break;
+      this.ended.delete(id);
+    }
+  }
+}
+
+function stepOf(progress: JobProgress, name: string): CellJob['steps'][number] {
+  const step = progress.job.steps[taskName.parse(name)?.step ?? -1];
+  if (step === undefined) throw new Error(`task ${name} has no step`);
+  return step;
+}
--- /dev/null
+++ b/packages/cell-state/src/job-progress.ts
@@ -0,0 +1,13 @@
+import type { CellJob } from '@acaciahoist/cell-types';
+import type { StepProgress } from './step-progress.js';
+
+/** A job that has not ended. */
+export interface JobProgress {
+  job: CellJob;
+  /** Offset of the record that accepted the job; tells the age of jobs apart. */
+  offset: number;
+  /** Steps by occurrence. */
+  occurrences: StepProgress[][];
+  /** True once a task was started. */
+  begun: boolean;
+}
--- /dev/null
+++ b/packages/cell-state/src/snapshot-codec.ts
@@ -0,0 +1,47 @@
+import { Packr } from 'msgpackr';
+import type { CellOwnerClaim } from './cell-owner-claim.js';
+import type { EndedJob } from './ended-job.js';
+import { CellState } from './index.js';
+import type { JobProgress } from './job-progress.js';
+import type { LeftoverRun } from './leftover-run.js';
+
+const packr = new Packr({ useRecords: false });
+
+interface Content {
+  nextOffset: number;
+  logTimeMs: number;
+  claim: CellOwnerClaim | null;
+  jobs: JobProgress[];
+  ended: { id: string; outcome: EndedJob['outcome']; endedMs: number; leftovers: [string, LeftoverRun][] }[];
+}
+
+/** Encodes the whole state of a cell. */
+export const snapshotCodec = {
+  encode(state: CellState): Uint8Array {
+    const content: Content = {
+      nextOffset: state.nextOffset,
+      logTimeMs: state.logTimeMs,
+      claim: state.claim ?? null,
+      jobs: [...state.jobs.values()],
+      ended: [...state.ended].map(([id, job]) => ({
+        id,
+        outcome: job.outcome,
+        endedMs: job.endedMs,
+        leftovers: [...job.leftovers],
+      })),
+    };
+    return packr.pack(content);
+  },
+
+  decode(data: Uint8Array, retentionMs: number): CellState {
+    const content = packr.unpack(data) as Content;
+    const state = CellState.create(retentionMs);
+    state.nextOffset = content.nextOffset;
+    state.logTimeMs = content.logTimeMs;
+    state.claim = content.claim ?? undefined;
+    for (const progress of content.jobs) state.restore(progress);
+    for (const { id, outcome, endedMs, leftovers } of content.ended)
+      state.ended.set(id, { outcome, endedMs, leftovers: new Map(leftovers) });
+    return state;
+  },
+};
--- /dev/null
+++ b/packages/cell-state/src/task-progress.ts
@@ -0,0 +1,11 @@
+/** What the log says about one task. */
+export interface TaskProgress {
+  phase: 'waiting' | 'placed' | 'done';
+  /** Number of the newest run; 0 before the first. */
+  run: number;
+  /** Worker of the newest run; empty before the first. */
+  worker: string;
+  failures: number;
+  /** Newest durable checkpoint; empty for none. */
+  checkpoint: string;
+}
--- /dev/null
+++ b/packages/cell-types/src/cell-queue.ts
@@ -0,0 +1,8 @@
+import type { QueueTerms } from './queue-terms.js';
+
+/** A queue with the address under which clients reach it. */
+export interface CellQueue {
+  host: string;
+  pathPrefix: string;
+  terms: QueueTerms;
+}
--- /dev/null
+++ b/packages/cell-types/src/cell-record.ts
@@ -0,0 +1,19 @@
+import type { CellJob } from './index.js';
+import type { RunEnd } from './run-end.js';
+
+/**
+ * A record of the cell log. Fronts append `job` and `cancel`; all other kinds come from the owner and
+ * are fenced by its epoch. The log order decides between concurrent records.
+ */
+export type CellRecord =
+  /** A process becomes the owner. Its token is the offset of this record plus one. */
+  | { kind: 'claim'; owner: string; address: string; wallMs: number }
+  /** The owner is alive. Carries its Unix time, by which ended jobs are forgotten. */
+  | { kind: 'renew'; wallMs: number }
+  /** The owner hands over; another process may claim at once. */
+  | { kind: 'release' }
+  | { kind: 'job'; job: CellJob }
+  | { kind: 'cancel'; id: string }
+  /** The owner is about to send the start of a run to a worker. */
+  | { kind: 'start'; task: string; run: number; worker: string }
+  | { kind: 'end'; task: string; run: number; how: RunEnd; saved: string };
--- /dev/null
+++ b/packages/cell-types/src/job-outcome.ts
@@ -0,0 +1,10 @@
+/** State of a job as clients see it. */
+export const JobOutcome = {
+  queued: 'queued',
+  running: 'running',
+  completed: 'completed',
+  failed: 'failed',
+  cancelled: 'cancelled',
+} as const;
+
+export type JobOutcome = (typeof JobOutcome)[keyof typeof JobOutcome];
--- /dev/null
+++ b/packages/cell-types/src/read-result.ts
@@ -0,0 +1,6 @@
+/** Result of a read of a topic. */
+export type ReadResult =
+  | { kind: 'records'; end: number; first: number; records: Uint8Array[] }
+  /** Records at the offset asked for were deleted; `first` is the oldest that is kept. */
+  | { kind: 'expired'; first: number }
+  | { kind: 'failed'; reason: string };
--- /dev/null
+++ b/packages/cell-types/src/worker-client.ts
@@ -0,0 +1,23 @@
+import type { HoldReply } from './hold-reply.js';
+import type { StartOrder } from './start-order.js';
+import type { StartReply } from './start-reply.js';
+
+/** Calls to one worker. Every call ends within its own time limit. */
+export interface WorkerClient {
+  start(order: StartOrder): Promise<StartReply>;
+  /** Confirmed when true: the run is being stopped, or will be refused if its start arrives later. */
+  stop(task: string, run: number, token: number): Promise<StopReply>;
+  /**
+   * Extends the lease to `leaseUntilMs` of the worker's clock (0 to leave it), acknowledges ends up to
+   * `acknowledgedEnd`, and waits up to `waitMs` for another end.
+   */
+  hold(call: {
+    token: number;
+    leaseUntilMs: number;
+    acknowledgedEnd: number;
+    waitMs: number;
+  }): Promise<HoldReply>;
+  close(): void;
+}
+
+import type { StopReply } from './stop-reply.js';
--- a/packages/entry/src/create-event-log.ts
+++ b/packages/entry/src/create-event-log.ts
@@ -1,5 +1,5 @@
 import bunyan from 'bunyan';
-import type { EventLog } from './event-log.js';
+import type { EventLog } from '@acaciahoist/types/event-log';
 import { formatEvent } from './format-event.js';
 
 /** Creates a log through bunyan that writes one key=value line per event. */
--- a/packages/entry/src/entry-context.ts
+++ b/packages/entry/src/entry-context.ts
@@ -7,7 +7,7 @@
 import type { ProcessIdentity } from '@acaciahoist/types/process-identity';
 import type { RunnerClient } from '@acaciahoist/types/runner-client';
 import type { WorkerClient } from '@acaciahoist/types/worker-client';
-import type { EventLog } from './event-log.js';
+import type { EventLog } from '@acaciahoist/types/event-log';
 import type { Metrics } from './metrics.js';
 
 /** What the parts of one entry process share. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -22,7 +22,7 @@
 import type { ProcessIdentity } from '@acaciahoist/types/process-identity';
 import { CallerService } from './caller-service.js';
 import type { EntryContext } from './entry-context.js';
-import type { EventLog } from './event-log.js';
+import type { EventLog } from '@acaciahoist/types/event-log';
 import { Metrics } from './metrics.js';
 import { nameHolder } from './name-holder.js';
 import { OperatorService } from './operator-service.js';
--- a/packages/entry/src/peer-service.ts
+++ b/packages/entry/src/peer-service.ts
@@ -43,7 +43,12 @@
   private constructor(private readonly options: Options) {
     const { context } = options;
     const { membership } = context;
+    // The calls of the platform role belong to processes of the cell.
+    const notServed = (): Promise<Result<never, Failure>> =>
+      Promise.resolve(Result.err(Failure.create(ErrorKind.badRequest, 'not served in this role')));
     this.handlers = {
+      'offer-help': notServed,
+      advise: notServed,
       probe: () => Promise.resolve(Result.ok({})),
       heartbeat: (body, from) => Promise.resolve(Result.ok(membership.acceptHeartbeat(from, body))),
       digest: ({ views }) => Promise.resolve(Result.ok({ views: membership.acceptDigest(views) })),
--- a/packages/errors/src/answers.ts
+++ b/packages/errors/src/answers.ts
@@ -10,6 +10,7 @@
   'bad-declaration': { httpStatus: 422, execution: notRun, repeatable: false, exitCode: 2 },
   forbidden: { httpStatus: 403, execution: notRun, repeatable: false, exitCode: 3 },
   'not-found': { httpStatus: 404, execution: notRun, repeatable: false, exitCode: 4 },
+  'unknown-job': { httpStatus: 410, execution: notRun, repeatable: false, exitCode: 4 },
   'revision-conflict': { httpStatus: 409, execution: notRun, repeatable: false, exitCode: 5 },
   'never-runnable': { httpStatus: 422, execution: notRun, repeatable: false, exitCode: 6 },
   'quota-exceeded': { httpStatus: 429, execution: notRun, repeatable: true, exitCode: 6 },
--- a/packages/errors/src/error-kind.ts
+++ b/packages/errors/src/error-kind.ts
@@ -8,6 +8,8 @@
   forbidden: 'forbidden',
   /** No such job, service, user or period. */
   notFound: 'not-found',
+  /** No job with this id was accepted, or it was forgotten after its end. */
+  unknownJob: 'unknown-job',
   /** The publication names a base revision that is not in force. */
   revisionConflict: 'revision-conflict',
   /** The job can never run: no worker could hold it. */
--- a/packages/http-server/src/index.ts
+++ b/packages/http-server/src/index.ts
@@ -9,6 +9,8 @@
   maxConnections: number;
   /** Time within which the whole request must have arrived. */
   requestTimeoutMs: number;
+  /** Time after which a connection without a request is closed. */
+  idleTimeoutMs?: number;
   handle: (request: HttpRequest) => Promise<HttpAnswer>;
   onFault: (message: string) => void;
 }
@@ -25,7 +27,10 @@
 
   private constructor(private readonly options: Options) {
     this.server = createServer(
-      { requestTimeout: options.requestTimeoutMs },
+      {
+        requestTimeout: options.requestTimeoutMs,
+        ...(options.idleTimeoutMs === undefined ? {} : { keepAliveTimeout: options.idleTimeoutMs }),
+      },
       (request, response) => {
         void this.serve(request, response);
       },
@@ -46,6 +51,11 @@
     });
   }
 
+  /** From now on responses ask callers to close their connections; new ones are still accepted. */
+  drain(): void {
+    this.isClosing = true;
+  }
+
   /**
    * Stops accepting connections and resolves when every request in flight was answered. Responses on
    * open connections carry `connection: close`, so that no caller sends another request on them.
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -75,5 +75,7 @@
     result: oneOf('ended', 'not-sent', 'unknown'),
   }),
   'fence-slots': object({ partition: string, token: number }),
+  'offer-help': object({ address: string }),
+  advise: object({ step: string, workers: list(string, 256), timeoutMs: number }),
   'read-configuration': object({}),
 };
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -47,6 +47,12 @@
     request: { partition: PartitionId; token: number };
     reply: { incarnation: string; stopped: boolean; grants: readonly OutstandingGrant[] };
   };
+  /** Sent to the owner of the cell: the sender calls the advice service on request. */
+  'offer-help': { request: { address: string }; reply: Record<string, never> };
+  advise: {
+    request: { step: string; workers: readonly string[]; timeoutMs: number };
+    reply: { advice: unknown };
+  };
   'read-configuration': {
     request: Record<string, never>;
     reply: { revision: number; text: string; operator: string };
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -17,7 +17,7 @@
       else if (/\.test\.(ts|mjs)$/.test(entry.name)) found.push(path);
     }
   };
-  for (const root of ['packages', 'lint']) if (existsSync(root)) visit(root);
+  for (const root of ['packages', 'platform', 'lint']) if (existsSync(root)) visit(root);
   return found.sort();
 }
 
