Model gangs and acknowledged ends in the emulator

Cause: two random schedules failed on the emulator's own faults: an end that its worker never had acknowledged counted as noted, and members of a gang ended one by one. Conclusion: the check follows the acknowledgements that workers saw.

--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -8,6 +8,7 @@
 import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import { CallFault } from './call-fault.js';
+import type { EmulatedGangs } from './emulated-gangs.js';
 import type { HistoryEvent } from './history-event.js';
 
 interface Run {
@@ -22,6 +23,9 @@
   entry: WorkerEntry;
   /** Run time of a task in ms and how it ends. */
   workOf: (task: string, run: number) => { ms: number; how: RunEnd };
+  /** Number of members when the task belongs to a gang; 0 otherwise. */
+  gangSizeOf: (task: string) => number;
+  gangs: EmulatedGangs;
   record: (event: HistoryEvent) => void;
 }
 
@@ -63,9 +67,10 @@
     this.isUp = false;
     for (const run of [...this.runs.values()]) {
       run.cancel();
+      this.runs.delete(run.task);
       this.note('ended', run.task, run.run, RunEnd.lost);
+      this.options.gangs.leave(gangKey(run.task, run.run), run.task);
     }
-    this.runs.clear();
   }
 
   client(caller: string): WorkerClient {
@@ -126,6 +131,9 @@
     if (order.token < this.token) return { kind: 'fenced' };
     this.token = order.token;
     this.extend(order.leaseUntilMs);
+    for (const end of this.ended) {
+      if (end.number <= order.acknowledgedEnd) this.note('noted', end.task, end.run, end.how);
+    }
     this.ended = this.ended.filter((end) => end.number > order.acknowledgedEnd);
     return {
       kind: 'held',
@@ -150,12 +158,23 @@
     if ((this.over.get(order.task) ?? 0) >= order.run) return { kind: 'refused', reason: 'old' };
     if (order.leaseUntilMs < this.workerMs()) return { kind: 'refused', reason: 'late' };
     const work = this.options.workOf(order.task, order.run);
-    const cancel = this.options.clock.after(work.ms, () => {
-      this.finish(order.task, order.run, work.how);
-    });
+    const finish = (how: RunEnd): void => {
+      this.finish(order.task, order.run, how);
+    };
+    const gangSize = this.options.gangSizeOf(order.task);
+    const cancel =
+      gangSize > 0
+        ? (): void => undefined
+        : this.options.clock.after(work.ms, () => {
+            finish(work.how);
+          });
     const startedMs = this.options.clock.monotonicMs();
     this.runs.set(order.task, { task: order.task, run: order.run, startedMs, cancel });
     this.note('started', order.task, order.run, undefined);
+    if (gangSize > 0) {
+      const key = gangKey(order.task, order.run);
+      this.options.gangs.join(key, order.task, gangSize, work, finish);
+    }
     return started;
   }
 
@@ -179,6 +198,7 @@
     this.endCount += 1;
     this.ended.push({ number: this.endCount, task, run, how, checkpoint: '' });
     this.note('ended', task, run, how);
+    this.options.gangs.leave(gangKey(task, run), task);
   }
 
   private extend(untilMs: number): void {
@@ -208,3 +228,7 @@
     return new Promise((resolve) => this.options.clock.after(ms, resolve));
   }
 }
+
+function gangKey(task: string, run: number): string {
+  return `${task.slice(0, task.lastIndexOf('.'))}/${run}`;
+}
--- a/packages/cell-emulator/src/find-violations.ts
+++ b/packages/cell-emulator/src/find-violations.ts
@@ -26,6 +26,13 @@
   const found: string[] = [];
   const running = new Map<string, HistoryEvent>();
   const done = new Set<string>();
+  // An end that was never acknowledged may be forgotten with its worker; the task then runs again.
+  const noted = new Set(
+    options.history
+      .filter((event) => event.kind === 'noted')
+      .map((event) => `${event.task}/${event.run}`),
+  );
+  const doneAndNoted = new Set<string>();
   const load = new Map<string, number>();
   for (const event of options.history) {
     const ref = taskName.parse(event.task);
@@ -35,18 +42,22 @@
       found.push(`${event.task} was never sent`);
       continue;
     }
+    if (event.kind === 'noted') continue;
     const change = event.kind === 'started' ? step.millicores : -step.millicores;
     const total = (load.get(event.worker) ?? 0) + change;
     load.set(event.worker, total);
     if (event.kind === 'ended') {
       running.delete(event.task);
-      if (event.how === RunEnd.done) done.add(event.task);
+      if (event.how === RunEnd.done) {
+        done.add(event.task);
+        if (noted.has(`${event.task}/${event.run}`)) doneAndNoted.add(event.task);
+      }
       continue;
     }
     const other = running.get(event.task);
     const where = `${event.task} run ${event.run} at ${event.atMs} ms`;
     if (other !== undefined) found.push(`${where} runs beside run ${other.run}`);
-    if (done.has(event.task)) found.push(`${where} starts after it was done`);
+    if (doneAndNoted.has(event.task)) found.push(`${where} starts after it was done`);
     if (total > options.workerMillicores) found.push(`${where} is over the room of ${event.worker}`);
     const cancelledMs = options.cancelledMs.get(ref.job) ?? Number.POSITIVE_INFINITY;
     if (event.atMs > cancelledMs + CANCEL_MS) found.push(`${where} starts after its cancel`);
--- a/packages/cell-emulator/src/history-event.ts
+++ b/packages/cell-emulator/src/history-event.ts
@@ -3,7 +3,8 @@
 /** What a worker saw of a run. */
 export interface HistoryEvent {
   atMs: number;
-  kind: 'started' | 'ended';
+  /** `noted`: the end was acknowledged, so that the worker forgets it. */
+  kind: 'started' | 'ended' | 'noted';
   task: string;
   run: number;
   worker: string;
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -9,6 +9,7 @@
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { CellProcess } from '@acaciahoist/cell-process';
 import type { PeerCalls } from '@acaciahoist/cell-process/peer-calls';
+import { EmulatedGangs } from './emulated-gangs.js';
 import { EmulatedStore } from './emulated-store.js';
 import { EmulatedWorker } from './emulated-worker.js';
 import { findViolations } from './find-violations.js';
@@ -49,11 +50,13 @@
   readonly processes: { name: string; process: CellProcess; isUp: boolean }[] = [];
   /** True while calls between this process and this worker are cut off. */
   isCut: (process: string, worker: string) => boolean = () => false;
+  private readonly gangs: EmulatedGangs;
   private lives = 0;
 
   private constructor(private readonly options: Options) {
     this.random = Random.create(options.seed);
     this.store = EmulatedStore.create(this.clock);
+    this.gangs = EmulatedGangs.create(this.clock);
     const configuration = { version: 1, queues: [], guarded: {}, maxBodyBytes: 100_000 };
     this.store.put('keyed.op', 'config', Buffer.from(JSON.stringify(configuration)));
   }
@@ -93,6 +96,8 @@
       clock: this.clock,
       entry,
       workOf: (task, run) => this.workOf(task, run),
+      gangSizeOf: (task) => this.gangSizeOf(task),
+      gangs: this.gangs,
       record: (event) => this.history.push(event),
     });
     this.workers.set(id, worker);
@@ -211,6 +216,12 @@
     return { ms, how: fails ? RunEnd.failed : RunEnd.done };
   }
 
+  private gangSizeOf(task: string): number {
+    const ref = taskName.parse(task);
+    const step = ref && this.jobs.get(ref.job)?.steps[ref.step];
+    return step?.gang === true ? step.count : 0;
+  }
+
   private connect(
     name: string,
     life: string,
