Let the leases of a worker out of reach run out

Ruled out: a missing run in the owner's table (worker-lost shows runs=16). Change: no lease is granted while the worker does not answer.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -53,6 +53,20 @@
   expect((started?.atMs ?? Number.POSITIVE_INFINITY) - killedMs < 4_000).toEqual(true);
 });
 
+// Guards against work that waits for ever on a worker that never comes back: each hold call to it
+// promised a new lease, so that its leases were never over.
+test('gives up the work of a worker that is lost for good', async () => {
+  const cell = await startCell(10);
+  const submitted = cell.submit(makeJob(1, [{ count: 4, estimateMs: 2_000 }]), 'p0');
+  await cell.run(500);
+  expect(await submitted).toEqual('accepted');
+  const worker = cell.history.find((event) => event.kind === 'started')?.worker ?? '';
+  cell.workers.get(worker)?.crash();
+  await cell.run(15_000);
+  expect(cell.violations()).toEqual([]);
+  expect(cell.unfinished()).toEqual([]);
+});
+
 // Guards against claims that are lost to the records of clients: with `at` as their condition, every
 // job that arrived meanwhile made a claim fail.
 test('takes over while clients keep submitting', async () => {
@@ -135,6 +149,7 @@
     'store-late',
     'store-away-from-owner',
     'worker-crash',
+    'worker-gone',
     'worker-cut',
     'orders-late',
     'answers-lost',
@@ -188,6 +203,12 @@
         if (worker !== undefined) cell.addWorker(worker.entry.id);
       });
       break;
+    case 'worker-gone':
+      worker?.crash();
+      heal.push(() => {
+        cell.addWorker(`w${cell.workers.size}`);
+      });
+      break;
     case 'worker-cut':
       cell.isCut = (_process, id) => id === worker?.entry.id;
       heal.push(() => {
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -92,7 +92,8 @@
       const sentMs = clock.monotonicMs();
       const reply = await client.hold({
         token,
-        leaseUntilMs: this.grantLease(),
+        // A worker out of reach gets no new leases: what runs there is over when the last one is.
+        leaseUntilMs: this.isReachable ? this.grantLease() : 0,
         acknowledgedEnd: this.acknowledgedEnd,
         waitMs: this.clockReading === undefined || !this.isReachable ? 0 : limits.holdWaitMs,
       });
