--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -15,6 +15,7 @@
   task: string;
   run: number;
   startedMs: number;
+  workMs: number;
   cancel: () => void;
 }
 
@@ -135,11 +136,14 @@
       kind: 'held',
       clockMs: this.workerMs(),
       born: this.entry.born,
-      running: [...this.runs.values()].map(({ task, run }) => ({
+      running: [...this.runs.values()].map(({ task, run, startedMs, workMs }) => ({
         task,
         run,
         checkpoint: '',
-        percent: 0,
+        percent: Math.min(
+          99,
+          Math.floor(((this.options.clock.monotonicMs() - startedMs) * 100) / workMs),
+        ),
       })),
       ended: [...this.ended],
     };
@@ -165,7 +169,13 @@
             finish(work.how);
           });
     const startedMs = this.options.clock.monotonicMs();
-    this.runs.set(order.task, { task: order.task, run: order.run, startedMs, cancel });
+    this.runs.set(order.task, {
+      task: order.task,
+      run: order.run,
+      startedMs,
+      workMs: Math.max(1, work.ms),
+      cancel,
+    });
     this.note('started', order.task, order.run, undefined);
     if (gangSize > 0) {
       const key = gangKey(order.task, order.run);
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -23,6 +23,7 @@
 import { Proposals } from './proposals.js';
 import { RunTable } from './run-table.js';
 import type { RunView } from './run-view.js';
+import { WorkerHealth } from './worker-health.js';
 import { WorkerLink } from './worker-link.js';
 
 interface Options {
@@ -56,8 +57,11 @@
   private readonly proposals = Proposals.create();
   private readonly book: AdviceBook;
   private readonly desk: AdviceDesk;
+  private readonly health: WorkerHealth;
   /** Workers of former lives or owners that no entry names, with the time at which their leases end. */
   private readonly leaseEnds = new Map<string, number>();
+  /** Time of the newest list of runs by worker. */
+  private readonly heldMs = new Map<string, number>();
   private readonly ownedSinceMs: number;
   private isStopped = false;
   private isPlanDue = false;
@@ -70,6 +74,7 @@
     this.runs = RunTable.create(state, this.ownedSinceMs);
     this.book = AdviceBook.create(clock);
     this.desk = AdviceDesk.create({ clock, own: options.advise });
+    this.health = WorkerHealth.create(clock);
   }
 
   start(): void {
@@ -203,6 +208,7 @@
     link.stop();
     this.links.delete(link.id);
     this.book.forgetWorker(link.id);
+    this.health.forgetWorker(link.id);
     for (const view of [...this.runs.on(link.id)])
       this.proposeEnd(view, RunEnd.lost, 'worker-gone');
   }
@@ -214,6 +220,8 @@
   ): void {
     if (this.isStopped) return;
     const nowMs = this.options.clock.monotonicMs();
+    const unseenMs = nowMs - (this.heldMs.get(link.id) ?? nowMs);
+    this.heldMs.set(link.id, nowMs);
     const listed = new Set<string>();
     for (const ended of reply.ended) {
       listed.add(ended.task);
@@ -231,12 +239,14 @@
         view.phase = 'running';
         view.settledMs = nowMs;
       }
-      if (row.percent !== view.percent) {
+      // What the worker did while it did not answer says nothing about its speed.
+      if (row.percent !== view.percent || unseenMs > limits.silentWorkerMs) {
         view.percent = row.percent;
         view.percentAtMs = nowMs;
       }
       if (row.checkpoint !== '') view.checkpoint = row.checkpoint;
       if (!this.isWanted(view)) this.sendStop(link, view);
+      else this.checkProgress(link, view, nowMs);
     }
     for (const view of [...this.runs.on(link.id)]) {
       if (!listed.has(view.task)) this.runMissing(link, view, sentMs);
@@ -249,10 +259,47 @@
     link.seenEnd = Math.max(link.seenEnd, ended.number);
     const view = this.runs.get(ended.task);
     if (view?.run !== ended.run || view.worker !== link.id) return;
+    this.judgeEnd(view, ended.how);
     if (ended.checkpoint !== '') view.checkpoint = ended.checkpoint;
     this.proposeEnd(view, ended.how, 'reported');
   }
 
+  private judgeEnd(view: RunView, how: RunEnd): void {
+    const found = this.options.state.taskOf(view.task);
+    if (found === undefined || view.estimateMs === 0) return;
+    const nowMs = this.options.clock.monotonicMs();
+    const queue = found.progress.job.queue.name;
+    let isOut = false;
+    if (how === RunEnd.failed) isOut = this.health.failed(view.worker, view.task.slice(0, 16));
+    else if (how === RunEnd.done && !view.isMeasured)
+      isOut = this.health.succeeded(view.worker, queue, (nowMs - view.sinceMs) / view.estimateMs);
+    if (isOut) this.noteOut(view.worker);
+  }
+
+  /** Judges a run by its progress; stops one that stands still. */
+  private checkProgress(link: WorkerLink, view: RunView, nowMs: number): void {
+    const found = this.options.state.taskOf(view.task);
+    const ref = taskName.parse(view.task);
+    const step = ref && found?.progress.job.steps[ref.step];
+    if (found === undefined || step === undefined || step.longRunning) return;
+    if (!view.isMeasured && view.percent >= limits.measurablePercent && view.estimateMs > 0) {
+      const totalMs = ((view.percentAtMs - view.sinceMs) * 100) / view.percent;
+      if (this.health.isSlow(found.progress.job.queue.name, totalMs / view.estimateMs)) {
+        view.isMeasured = true;
+        if (this.health.slowed(view.worker)) this.noteOut(view.worker);
+      }
+    }
+    const stallMs = step.gang ? limits.gangStallMs : limits.stallMs;
+    if (view.percent >= 100 || nowMs - view.percentAtMs < stallMs) return;
+    if (!step.gang && this.health.stalled(view.worker)) this.noteOut(view.worker);
+    this.sendStop(link, view);
+  }
+
+  private noteOut(worker: string): void {
+    this.options.count('workers_out_total');
+    this.options.log('warn', 'worker-out', { worker, reason: this.health.reasonOf(worker) });
+  }
+
   /** Ends count as taken note of only when all of them are recorded. */
   private acknowledgeEnds(link: WorkerLink): void {
     for (const view of this.runs.on(link.id))
@@ -285,8 +332,11 @@
     if (nowMs - view.stopSentMs < limits.stopRepeatMs) return;
     view.stopSentMs = nowMs;
     void link.client.stop(view.task, view.run, this.options.token).then((reply) => {
-      if (reply === StopReply.confirmed) view.stopConfirmedMs = this.options.clock.monotonicMs();
-      else if (reply === StopReply.fenced) this.options.onFenced();
+      if (reply === StopReply.confirmed) {
+        view.stopConfirmedMs = this.options.clock.monotonicMs();
+        if (view.phase === 'unknown') void link.look();
+      }
+      if (reply === StopReply.fenced) this.options.onFenced();
     });
   }
 
@@ -350,6 +400,7 @@
     const ended = this.options.state.ended.get(id);
     if (ended === undefined) return;
     this.book.forgetJob(id);
+    this.health.forgetJob(id);
     this.options.log('info', 'job-ended', { job: id, outcome: ended.outcome });
     this.options.count(`jobs_${ended.outcome}_total`);
     for (const task of ended.leftovers.keys()) {
@@ -393,6 +444,8 @@
       percent: 0,
       percentAtMs: nowMs,
       checkpoint: found.task.checkpoint,
+      // A run that resumes from a checkpoint does less than its estimate says.
+      isMeasured: found.task.checkpoint !== '',
       stopSentMs: 0,
       stopConfirmedMs: 0,
     };
@@ -447,6 +500,7 @@
           reason: reply.reason,
         });
         if (view.phase === 'sending') view.phase = 'unknown';
+        void link.look();
         return;
       case 'gone':
         this.proposeEnd(view, RunEnd.lost, reply.reason);
@@ -527,7 +581,8 @@
         total,
         free,
         runs,
-        startable: link.isStartable(),
+        startable: link.isStartable() && this.isFit(link),
+        probation: this.health.fitness(link.id) === 'probation',
       });
     }
     for (const start of this.proposals.allStarts()) {
@@ -537,6 +592,12 @@
     return [...workers.values()];
   }
 
+  private isFit(link: WorkerLink): boolean {
+    const fitness = this.health.fitness(link.id);
+    if (fitness !== 'probation') return fitness === 'full';
+    return this.runs.countOn(link.id) === 0;
+  }
+
   private recordStarts(
     starts: readonly { key: string; index: number; worker: string }[],
     steps: ReadonlyMap<string, ReadyStep>,
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -18,6 +18,12 @@
   silentWorkerMs: 1_500,
   /** Time for which a worker that refused a start as unhealthy takes none. */
   unhealthyPauseMs: 1_000,
+  /** A run without any progress for this long, at a worker that answers, stands still. */
+  stallMs: 2_500,
+  /** Members of a gang wait this long for each other and then make no progress. */
+  gangStallMs: 5_500,
+  /** Share of work in percent from which the progress of a run tells its speed. */
+  measurablePercent: 20,
   /** Least time between two stop orders for the same run. */
   stopRepeatMs: 300,
   /** Least time between two planning rounds. */
--- a/packages/cell-owner/src/run-table.ts
+++ b/packages/cell-owner/src/run-table.ts
@@ -92,6 +92,7 @@
     percent: 0,
     percentAtMs: nowMs,
     checkpoint: '',
+    isMeasured: true,
     stopSentMs: 0,
     stopConfirmedMs: 0,
   };
--- a/packages/cell-owner/src/run-view.ts
+++ b/packages/cell-owner/src/run-view.ts
@@ -19,6 +19,8 @@
   percent: number;
   percentAtMs: number;
   checkpoint: string;
+  /** The speed of the run was already counted for its worker. */
+  isMeasured: boolean;
   /** Monotonic time of the newest stop order; 0 for none. */
   stopSentMs: number;
   /** Monotonic time at which the worker confirmed a stop; 0 for none. */
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -41,6 +41,7 @@
   /** Ends up to this number are recorded. */
   acknowledgedEnd = 0;
   private isStopped = false;
+  private isLooking = false;
   private answeredMs: number;
   private clockReading: { workerMs: number; atMs: number } | undefined;
 
@@ -102,6 +103,18 @@
     }
   }
 
+  /** Looks at once beside the call that waits; for runs whose fate is not known. */
+  async look(): Promise<void> {
+    const { clock, client, token } = this.options;
+    if (this.isLooking || this.isStopped) return;
+    this.isLooking = true;
+    const sentMs = clock.monotonicMs();
+    const { acknowledgedEnd } = this;
+    const reply = await client.hold({ token, leaseUntilMs: 0, acknowledgedEnd, waitMs: 0 });
+    this.isLooking = false;
+    if (reply.kind !== 'failed') this.take(reply, sentMs);
+  }
+
   stop(): void {
     this.isStopped = true;
     this.options.client.close();
--- a/packages/cell-planner/src/index.test.ts
+++ b/packages/cell-planner/src/index.test.ts
@@ -75,3 +75,14 @@
   expect(plan.starts).toEqual([]);
   expect(plan.asks).toEqual([{ key: 'a', workers: ['w0'] }]);
 });
+
+// Guards against a worker on probation that gets as much work as a sound one.
+test('tries a worker on probation with one task that is not urgent', () => {
+  const bad = (): ReturnType<typeof worker> => worker('w0', { probation: true });
+  const batch = step('a', { step: { count: 5 } });
+  expect(planCell([batch], [bad()], 0).starts.length).toEqual(1);
+  const gang = step('b', { step: { count: 2, gang: true } });
+  expect(planCell([gang], [bad()], 0).starts).toEqual([]);
+  const urgent = step('c', { queue: { ...batch.queue, priority: 0 } });
+  expect(planCell([urgent], [bad()], 0).starts).toEqual([]);
+});
--- a/packages/cell-planner/src/planned-worker.ts
+++ b/packages/cell-planner/src/planned-worker.ts
@@ -10,6 +10,8 @@
   free: Room;
   /** Runs in order of their expected end, with the time in ms until then. */
   runs: readonly { endsInMs: number; size: Room }[];
-  /** False for a worker that takes no starts now: draining, unreachable or on probation. */
+  /** False for a worker that takes no starts now: draining, unreachable or out. */
   startable: boolean;
+  /** True for a worker that is being tried again: it takes one task that is neither urgent nor in a gang. */
+  probation: boolean;
 }
--- a/packages/cell-planner/src/planner-fixture.ts
+++ b/packages/cell-planner/src/planner-fixture.ts
@@ -20,6 +20,7 @@
       free: { ...total, millicores: freeMillicores ?? total.millicores },
       runs: [],
       startable: true,
+      probation: false,
       ...rest,
     };
   },
--- a/packages/cell-planner/src/room-ledger.ts
+++ b/packages/cell-planner/src/room-ledger.ts
@@ -28,6 +28,8 @@
 
   take(worker: PlannedWorker, size: Room): void {
     changeRoom(worker.free, size, -1);
+    // One task is enough to try a worker again.
+    if (worker.probation) changeRoom(worker.free, worker.free, -1);
     for (const reservation of this.binding) {
       const spare = reservation.spare.get(worker.id);
       if (spare !== undefined) changeRoom(spare, size, -1);
