--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -9,20 +9,17 @@
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import type { CellState } from '@acaciahoist/cell-state';
 import { taskName } from '@acaciahoist/cell-state/task-name';
-import { planCell } from '@acaciahoist/cell-planner';
-import { changeRoom } from '@acaciahoist/cell-planner/change-room';
-import type { PlannedWorker } from '@acaciahoist/cell-planner/planned-worker';
-import type { ReadyStep } from '@acaciahoist/cell-planner/ready-step';
-import { sizeOf } from '@acaciahoist/cell-planner/size-of';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { AdviceBook } from './advice-book.js';
 import { AdviceDesk } from './advice-desk.js';
-import { expectedEnd } from './expected-end.js';
 import { limits } from './limits.js';
-import { listReadySteps } from './list-ready-steps.js';
 import { Proposals } from './proposals.js';
 import { RunTable } from './run-table.js';
 import type { RunView } from './run-view.js';
+import type { OwnerContext } from './owner-context.js';
+import { PlanLoop } from './plan-loop.js';
+import { RunJudge } from './run-judge.js';
+import { StartSender } from './start-sender.js';
 import { WorkerHealth } from './worker-health.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -42,6 +39,9 @@
   onFenced: () => void;
 }
 
+/** Jobs of which it is remembered that their end was logged; more only cost a repeated line. */
+const MAX_REPORTED = 10_000;
+
 /**
  * Runs the work of the cell while this process is the owner. Every decision is recorded in the cell log
  * before it is carried out and carried out when it comes back, so that a successor knows of it and all
@@ -58,14 +58,15 @@
   private readonly book: AdviceBook;
   private readonly desk: AdviceDesk;
   private readonly health: WorkerHealth;
-  /** Workers of former lives or owners that no entry names, with the time at which their leases end. */
-  private readonly leaseEnds = new Map<string, number>();
   /** Time of the newest list of runs by worker. */
   private readonly heldMs = new Map<string, number>();
   private readonly ownedSinceMs: number;
   private isStopped = false;
-  private isPlanDue = false;
-  private plannedMs = Number.NEGATIVE_INFINITY;
+  private readonly judge: RunJudge;
+  private readonly starter: StartSender;
+  private readonly loop: PlanLoop;
+  /** Jobs whose end was logged; several leftover runs end after their job. */
+  private readonly reported = new Set<string>();
   private cancelTimers: (() => void)[] = [];
 
   private constructor(private readonly options: Options) {
@@ -75,12 +76,30 @@
     this.book = AdviceBook.create(clock);
     this.desk = AdviceDesk.create({ clock, own: options.advise });
     this.health = WorkerHealth.create(clock);
+    const context: OwnerContext = {
+      ...options,
+      isStopped: () => this.isStopped,
+      links: this.links,
+      runs: this.runs,
+      proposals: this.proposals,
+      book: this.book,
+      health: this.health,
+      proposeEnd: (view, how, reason) => {
+        this.proposeEnd(view, how, reason);
+      },
+      sendStop: (link, view) => {
+        this.sendStop(link, view);
+      },
+    };
+    this.judge = RunJudge.create(context);
+    this.starter = StartSender.create(context);
+    this.loop = PlanLoop.create(context, this.desk);
   }
 
   start(): void {
     this.every(limits.planTickMs, () => {
       this.concludeLostRuns();
-      this.plan();
+      this.loop.plan();
     });
   }
 
@@ -135,7 +154,7 @@
     if (this.isStopped) return;
     switch (record.kind) {
       case 'start':
-        this.startRecorded(record, effective);
+        this.starter.startRecorded(record, effective);
         break;
       case 'end':
         this.endRecorded(record);
@@ -146,7 +165,7 @@
       default:
         break;
     }
-    if (record.kind !== 'renew') this.requestPlan();
+    if (record.kind !== 'renew') this.loop.request();
   }
 
   describe(): Record<string, unknown> {
@@ -164,8 +183,6 @@
     };
   }
 
-  // --- workers -----------------------------------------------------------------------------------
-
   private connect(entry: WorkerEntry): void {
     const { clock, log, token, storeSilentMs } = this.options;
     const link = WorkerLink.create({
@@ -192,7 +209,6 @@
       },
     });
     this.links.set(entry.id, link);
-    this.leaseEnds.delete(entry.id);
     log('info', 'worker-found', { worker: entry.id, address: entry.address, born: entry.born });
     void link.run();
   }
@@ -246,60 +262,24 @@
       }
       if (row.checkpoint !== '') view.checkpoint = row.checkpoint;
       if (!this.isWanted(view)) this.sendStop(link, view);
-      else this.checkProgress(link, view, nowMs);
+      else this.judge.checkProgress(link, view, nowMs);
     }
     for (const view of [...this.runs.on(link.id)]) {
       if (!listed.has(view.task)) this.runMissing(link, view, sentMs);
     }
     this.acknowledgeEnds(link);
-    this.requestPlan();
+    this.loop.request();
   }
 
   private runEnded(link: WorkerLink, ended: EndedRun): void {
     link.seenEnd = Math.max(link.seenEnd, ended.number);
     const view = this.runs.get(ended.task);
     if (view?.run !== ended.run || view.worker !== link.id) return;
-    this.judgeEnd(view, ended.how);
+    this.judge.judgeEnd(view, ended.how);
     if (ended.checkpoint !== '') view.checkpoint = ended.checkpoint;
     this.proposeEnd(view, ended.how, 'reported');
   }
 
-  private judgeEnd(view: RunView, how: RunEnd): void {
-    const found = this.options.state.taskOf(view.task);
-    if (found === undefined || view.estimateMs === 0) return;
-    const nowMs = this.options.clock.monotonicMs();
-    const queue = found.progress.job.queue.name;
-    let isOut = false;
-    if (how === RunEnd.failed) isOut = this.health.failed(view.worker, view.task.slice(0, 16));
-    else if (how === RunEnd.done && !view.isMeasured)
-      isOut = this.health.succeeded(view.worker, queue, (nowMs - view.sinceMs) / view.estimateMs);
-    if (isOut) this.noteOut(view.worker);
-  }
-
-  /** Judges a run by its progress; stops one that stands still. */
-  private checkProgress(link: WorkerLink, view: RunView, nowMs: number): void {
-    const found = this.options.state.taskOf(view.task);
-    const ref = taskName.parse(view.task);
-    const step = ref && found?.progress.job.steps[ref.step];
-    if (found === undefined || step === undefined || step.longRunning) return;
-    if (!view.isMeasured && view.percent >= limits.measurablePercent && view.estimateMs > 0) {
-      const totalMs = ((view.percentAtMs - view.sinceMs) * 100) / view.percent;
-      if (this.health.isSlow(found.progress.job.queue.name, totalMs / view.estimateMs)) {
-        view.isMeasured = true;
-        if (this.health.slowed(view.worker)) this.noteOut(view.worker);
-      }
-    }
-    const stallMs = step.gang ? limits.gangStallMs : limits.stallMs;
-    if (view.percent >= 100 || nowMs - view.percentAtMs < stallMs) return;
-    if (!step.gang && this.health.stalled(view.worker)) this.noteOut(view.worker);
-    this.sendStop(link, view);
-  }
-
-  private noteOut(worker: string): void {
-    this.options.count('workers_out_total');
-    this.options.log('warn', 'worker-out', { worker, reason: this.health.reasonOf(worker) });
-  }
-
   /** Ends count as taken note of only when all of them are recorded. */
   private acknowledgeEnds(link: WorkerLink): void {
     for (const view of this.runs.on(link.id))
@@ -357,16 +337,11 @@
     for (const view of [...this.runs.all()]) {
       const link = this.links.get(view.worker);
       if (link?.isReachable) continue;
-      const overMs = Math.max(
-        link?.isFenced ? 0 : formerMs,
-        link?.leaseOverMs ?? this.leaseEnds.get(view.worker) ?? formerMs,
-      );
+      const overMs = Math.max(link?.isFenced ? 0 : formerMs, link?.leaseOverMs ?? formerMs);
       if (nowMs > overMs) this.proposeEnd(view, RunEnd.lost, 'lease-over');
     }
   }
 
-  // --- records -----------------------------------------------------------------------------------
-
   private proposeEnd(view: RunView, how: RunEnd, reason: string): void {
     if (!this.proposals.addEnd(view.task, view.run)) return;
     this.options.count(`runs_ended_${how}_total`);
@@ -398,7 +373,9 @@
 
   private jobEnded(id: string): void {
     const ended = this.options.state.ended.get(id);
-    if (ended === undefined) return;
+    if (ended === undefined || this.reported.has(id)) return;
+    if (this.reported.size > MAX_REPORTED) this.reported.clear();
+    this.reported.add(id);
     this.book.forgetJob(id);
     this.health.forgetJob(id);
     this.options.log('info', 'job-ended', { job: id, outcome: ended.outcome });
@@ -424,233 +401,6 @@
     });
   }
 
-  private startRecorded(record: Extract<CellRecord, { kind: 'start' }>, effective: boolean): void {
-    const proposal = this.proposals.takeStart(record.task);
-    if (!effective) return;
-    const found = this.options.state.taskOf(record.task);
-    const ref = taskName.parse(record.task);
-    const step = ref && found?.progress.job.steps[ref.step];
-    if (found === undefined || step === undefined) return;
-    const nowMs = this.options.clock.monotonicMs();
-    const view: RunView = {
-      task: record.task,
-      run: record.run,
-      worker: record.worker,
-      size: proposal?.size ?? sizeOf(step),
-      phase: 'sending',
-      sinceMs: nowMs,
-      settledMs: nowMs,
-      estimateMs: step.estimateMs,
-      percent: 0,
-      percentAtMs: nowMs,
-      checkpoint: found.task.checkpoint,
-      // A run that resumes from a checkpoint does less than its estimate says.
-      isMeasured: found.task.checkpoint !== '',
-      stopSentMs: 0,
-      stopConfirmedMs: 0,
-    };
-    this.runs.add(view);
-    const link = this.links.get(record.worker);
-    const refusal = this.findRefusal(view, link, proposal?.decidedMs);
-    if (refusal !== undefined || link === undefined) {
-      this.proposeEnd(view, RunEnd.lost, refusal ?? 'worker-gone');
-      return;
-    }
-    void this.sendStart(link, view, found.progress.job.payload);
-  }
-
-  /** Why a recorded start must not leave any more; undefined when it may. */
-  private findRefusal(
-    view: RunView,
-    link: WorkerLink | undefined,
-    decidedMs: number | undefined,
-  ): string | undefined {
-    if (link?.isStartable() !== true) return 'worker-not-startable';
-    if (decidedMs === undefined) return 'decision-of-a-former-owner';
-    if (view.sinceMs - decidedMs > limits.maxDecisionAgeMs) return 'decision-too-old';
-    const found = this.options.state.taskOf(view.task);
-    if (found?.progress.job.queue.advice === undefined) return undefined;
-    const step = view.task.slice(0, view.task.lastIndexOf('.'));
-    return this.book.ticket(step, view.worker) === undefined ? 'ticket-expired' : undefined;
-  }
-
-  private async sendStart(link: WorkerLink, view: RunView, payload: string): Promise<void> {
-    const { clock, token } = this.options;
-    const step = view.task.slice(0, view.task.lastIndexOf('.'));
-    const reply = await link.client.start({
-      task: view.task,
-      run: view.run,
-      payload,
-      leaseUntilMs: link.grantLease(),
-      token,
-      checkpoint: view.checkpoint,
-      ticket: this.book.ticket(step, link.id) ?? '',
-    });
-    if (this.isStopped || this.runs.get(view.task) !== view) return;
-    view.settledMs = clock.monotonicMs();
-    switch (reply.kind) {
-      case 'started':
-        if (view.phase === 'sending') view.phase = 'running';
-        return;
-      case 'unknown':
-        this.options.log('warn', 'start-not-answered', {
-          task: view.task,
-          run: view.run,
-          worker: link.id,
-          reason: reply.reason,
-        });
-        if (view.phase === 'sending') view.phase = 'unknown';
-        void link.look();
-        return;
-      case 'gone':
-        this.proposeEnd(view, RunEnd.lost, reply.reason);
-        return;
-      case 'refused':
-        this.startRefused(link, view, reply.reason, step);
-    }
-  }
-
-  private startRefused(link: WorkerLink, view: RunView, reason: string, step: string): void {
-    if (reason === 'fence') {
-      this.options.onFenced();
-      return;
-    }
-    if (reason === 'ticket') this.book.expire(step, link.id);
-    if (reason === 'unhealthy')
-      link.pausedUntilMs = this.options.clock.monotonicMs() + limits.unhealthyPauseMs;
-    this.proposeEnd(view, RunEnd.lost, `refused-${reason}`);
-  }
-
-  // --- planning ----------------------------------------------------------------------------------
-
-  private requestPlan(): void {
-    if (this.isPlanDue || this.isStopped) return;
-    this.isPlanDue = true;
-    const { clock } = this.options;
-    const delayMs = Math.max(0, this.plannedMs + limits.planGapMs - clock.monotonicMs());
-    clock.after(delayMs, () => {
-      this.isPlanDue = false;
-      this.plan();
-    });
-  }
-
-  private plan(): void {
-    if (this.isStopped) return;
-    const { clock, state } = this.options;
-    const nowMs = clock.monotonicMs();
-    this.plannedMs = nowMs;
-    // Decisions made while the log does not take them would be stale when it does.
-    if (this.proposals.oldestMs(nowMs) > limits.staleProposalMs) return;
-    const steps = listReadySteps({
-      state,
-      wallMs: clock.wallMs(),
-      nowMs,
-      proposedWorker: (task) => this.proposals.workerOf(task),
-      adviceFor: (step) => this.book.get(step),
-    });
-    if (steps.length === 0) return;
-    const plan = planCell(steps, this.listWorkers(nowMs), nowMs);
-    const byKey = new Map(steps.map((step) => [step.key, step]));
-    this.recordStarts(plan.starts, byKey, nowMs);
-    for (const ask of plan.asks) {
-      const step = byKey.get(ask.key);
-      if (step !== undefined) this.ask(step, ask.workers);
-    }
-  }
-
-  private listWorkers(nowMs: number): PlannedWorker[] {
-    const workers = new Map<string, PlannedWorker>();
-    for (const link of this.links.values()) {
-      const { entry } = link;
-      const total = {
-        millicores: entry.millicores,
-        memoryMib: entry.memoryMib,
-        accelerators: entry.accelerators,
-      };
-      const free = { ...total };
-      const runs: { endsInMs: number; size: RunView['size'] }[] = [];
-      for (const view of this.runs.on(link.id)) {
-        changeRoom(free, view.size, -1);
-        runs.push({ endsInMs: expectedEnd(view, nowMs), size: view.size });
-      }
-      workers.set(link.id, {
-        id: link.id,
-        service: entry.service,
-        rack: entry.rack,
-        labels: entry.labels,
-        total,
-        free,
-        runs,
-        startable: link.isStartable() && this.isFit(link),
-        probation: this.health.fitness(link.id) === 'probation',
-      });
-    }
-    for (const start of this.proposals.allStarts()) {
-      const worker = workers.get(start.worker);
-      if (worker !== undefined) changeRoom(worker.free, start.size, -1);
-    }
-    return [...workers.values()];
-  }
-
-  private isFit(link: WorkerLink): boolean {
-    const fitness = this.health.fitness(link.id);
-    if (fitness !== 'probation') return fitness === 'full';
-    return this.runs.countOn(link.id) === 0;
-  }
-
-  private recordStarts(
-    starts: readonly { key: string; index: number; worker: string }[],
-    steps: ReadonlyMap<string, ReadyStep>,
-    nowMs: number,
-  ): void {
-    if (starts.length === 0) return;
-    const records: CellRecord[] = [];
-    const perStep = new Map<string, string[]>();
-    for (const { key, index, worker } of starts) {
-      const step = steps.get(key);
-      const task = `${key}.${index}`;
-      const found = this.options.state.taskOf(task);
-      if (step === undefined || found === undefined) continue;
-      const highest = found.step.tasks.reduce((most, member) => Math.max(most, member.run), 0);
-      const run = (step.step.gang ? highest : found.task.run) + 1;
-      const size = sizeOf(step.step);
-      this.proposals.addStart(task, { worker, run, size, decidedMs: nowMs });
-      records.push({ kind: 'start', task, run, worker });
-      perStep.set(key, [...(perStep.get(key) ?? []), worker]);
-    }
-    for (const [key, workers] of perStep)
-      this.options.log('info', 'start-decided', {
-        step: key,
-        queue: steps.get(key)?.queue.name,
-        priority: steps.get(key)?.queue.priority,
-        tasks: workers.length,
-        worker: workers[0],
-        waitedMs: Math.round(nowMs - (steps.get(key)?.sinceMs ?? nowMs)),
-      });
-    this.options.count('starts_total', records.length);
-    this.options.append(records);
-  }
-
-  private ask(step: ReadyStep, workers: readonly string[]): void {
-    const { advice } = step.queue;
-    if (advice === undefined) return;
-    const expectedMs = advice.decisionMs + advice.perWorkerMs * workers.length;
-    const isPrompt = step.queue.priority === 0;
-    const asked = this.desk.tryAsk(step.key, workers, isPrompt, expectedMs * 2 + 500);
-    if (asked === undefined) return;
-    this.book.markAsked(step.key, true);
-    void asked.then((answer) => {
-      if (this.isStopped) return;
-      if (this.options.state.jobs.has(step.key.slice(0, 16))) {
-        this.book.markAsked(step.key, false);
-        if (answer.kind === 'allowed')
-          this.book.record(step.key, workers, answer.tickets, advice.ticketMs);
-        else this.options.log('warn', 'advice-not-given', { step: step.key, result: answer.kind });
-      }
-      this.requestPlan();
-    });
-  }
-
   private every(intervalMs: number, run: () => void): void {
     const index = this.cancelTimers.length;
     const schedule = (): void => {
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -69,13 +69,19 @@
       this.isFenced &&
       this.isReachable &&
       !this.entry.draining &&
-      this.missingSinceMs === 0 &&
+      !this.isMissing() &&
       this.clockReading !== undefined &&
       this.silentMs() < limits.silentWorkerMs &&
       this.options.clock.monotonicMs() >= this.pausedUntilMs
     );
   }
 
+  /** True when the entry was removed and did not come back in time: the worker is gone. */
+  private isMissing(): boolean {
+    if (this.missingSinceMs === 0) return false;
+    return this.options.clock.monotonicMs() - this.missingSinceMs > limits.missingEntryMs;
+  }
+
   /** End of a lease that begins now, on the worker's clock; notes until when it may last. */
   grantLease(): number {
     const { clockReading } = this;
