Stop resumable work before its worker leaves

Change: a run with checkpoints that will not end in time is stopped 0.9 s before the departure and resumes elsewhere. Figures: emulator 'stops resumable work before its worker leaves' fails without the change (runs end as lost).

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -67,6 +67,26 @@
   expect(cell.unfinished()).toEqual([]);
 });
 
+// Guards against work that is thrown away when a worker leaves, though it could resume elsewhere.
+test('stops resumable work before its worker leaves', async () => {
+  const cell = await startCell(11);
+  const job = makeJob(1, [{ count: 2, estimateMs: 9_000, checkpointing: true }]);
+  const submitted = cell.submit(job, 'p0');
+  await cell.run(500);
+  expect(await submitted).toEqual('accepted');
+  const started = cell.history.find((event) => event.kind === 'started');
+  const worker = cell.workers.get(started?.worker ?? '');
+  if (worker === undefined) throw new Error('no run started');
+  cell.publish({ ...worker.entry, draining: true, leavesInMs: 2_000 });
+  await cell.run(2_000);
+  worker.crash();
+  await cell.run(15_000);
+  const thrownAway = cell.history.filter((event) => event.how === 'lost');
+  expect(thrownAway).toEqual([]);
+  expect(cell.violations()).toEqual([]);
+  expect(cell.unfinished()).toEqual([]);
+});
+
 // Guards against claims that are lost to the records of clients: with `at` as their condition, every
 // job that arrived meanwhile made a claim fail.
 test('takes over while clients keep submitting', async () => {
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -12,6 +12,7 @@
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { AdviceBook } from './advice-book.js';
 import { AdviceDesk } from './advice-desk.js';
+import { expectedEnd } from './expected-end.js';
 import { limits } from './limits.js';
 import { Proposals } from './proposals.js';
 import { RunTable } from './run-table.js';
@@ -99,6 +100,7 @@
   start(): void {
     this.every(limits.planTickMs, () => {
       this.concludeLostRuns();
+      this.moveFromLeavingWorkers();
       this.loop.plan();
     });
   }
@@ -127,6 +129,9 @@
     }
     if (link.entry.draining !== entry.draining)
       this.options.log('info', 'worker-draining', { worker: entry.id, draining: entry.draining });
+    // An entry that is read again unchanged says nothing new about the time that is left.
+    if (entry.draining && entry.leavesInMs > 0 && entry.leavesInMs !== link.entry.leavesInMs)
+      link.leavesAtMs = this.options.clock.monotonicMs() + entry.leavesInMs;
     link.entry = { ...entry, address: link.entry.address };
     link.missingSinceMs = 0;
   }
@@ -327,6 +332,19 @@
     void link.client.stop(task, run, this.options.token);
   }
 
+  /** Stops work that can resume from a checkpoint and would not end before its worker leaves. */
+  private moveFromLeavingWorkers(): void {
+    const nowMs = this.options.clock.monotonicMs();
+    for (const link of this.links.values()) {
+      if (!link.entry.draining || nowMs < link.leavesAtMs - limits.leaveMarginMs) continue;
+      for (const view of this.runs.on(link.id)) {
+        const step = this.options.state.stepOf(view.task);
+        const endsAtMs = nowMs + expectedEnd(view, nowMs);
+        if (step?.checkpointing === true && endsAtMs > link.leavesAtMs) this.sendStop(link, view);
+      }
+    }
+  }
+
   /** Gives up runs on workers out of reach once all leases there are over. */
   private concludeLostRuns(): void {
     const nowMs = this.options.clock.monotonicMs();
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -24,6 +24,8 @@
   gangStallMs: 5_500,
   /** Share of work in percent from which the progress of a run tells its speed. */
   measurablePercent: 20,
+  /** Work that can resume is stopped this long before its worker leaves: a stop takes up to 400 ms. */
+  leaveMarginMs: 900,
   /** Least time between two stop orders for the same run. */
   stopRepeatMs: 300,
   /** Least time between two planning rounds. */
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -27,6 +27,8 @@
   }
 
   entry: WorkerEntry;
+  /** Monotonic time at which a draining worker may leave; infinite while that is not known. */
+  leavesAtMs = Number.POSITIVE_INFINITY;
   /** Monotonic time at which the entry was found missing; 0 while it is there. */
   missingSinceMs = 0;
   /** Monotonic time up to which the worker takes no starts. */
--- a/packages/cell-state/src/index.ts
+++ b/packages/cell-state/src/index.ts
@@ -1,4 +1,5 @@
 import type { CellJob } from '@acaciahoist/cell-types';
+import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
@@ -84,6 +85,12 @@
     return { progress, step, task };
   }
 
+  /** The step of a task of a live job. */
+  stepOf(name: string): CellStep | undefined {
+    const ref = taskName.parse(name);
+    return ref && this.jobs.get(ref.job)?.job.steps[ref.step];
+  }
+
   /** The worker of a run that has not ended, of a live or an ended job. */
   placementOf(name: string): { run: number; worker: string } | undefined {
     const found = this.taskOf(name);
@@ -150,7 +157,8 @@
     }
     const { progress, step, task } = found;
     if (task.phase !== 'placed' || task.run !== run) return false;
-    const definition = stepOf(progress, name);
+    const definition = this.stepOf(name);
+    if (definition === undefined) return false;
     task.phase = 'waiting';
     step.placed -= 1;
     if (saved !== '') task.checkpoint = saved;
@@ -229,9 +237,3 @@
     }
   }
 }
-
-function stepOf(progress: JobProgress, name: string): CellJob['steps'][number] {
-  const step = progress.job.steps[taskName.parse(name)?.step ?? -1];
-  if (step === undefined) throw new Error(`task ${name} has no step`);
-  return step;
-}
