--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -21,6 +21,8 @@
   append?: () => Promise<'appended' | 'refused' | 'unknown'>;
   storeSilentMs?: number;
   synced?: boolean;
+  relayAppend?: () => Promise<'appended' | 'refused' | 'unknown'>;
+  relayOutcome?: 'completed';
 }
 
 function create(setup: Setup): { front: CellFront; clock: ManualClock; state: CellState } {
@@ -34,6 +36,8 @@
     replicaAgeMs: () => Number.POSITIVE_INFINITY,
     storeSilentMs: () => setup.storeSilentMs ?? 0,
     sync: () => Promise.resolve(setup.synced ?? true),
+    relayAppend: setup.relayAppend ?? ((): Promise<'refused'> => Promise.resolve('refused')),
+    relayOutcome: () => Promise.resolve(setup.relayOutcome),
     append: setup.append ?? ((): Promise<'appended'> => Promise.resolve('appended')),
   });
   return { front, clock, state };
@@ -106,3 +110,20 @@
   expect(results.map((result) => result.isOk)).toEqual([true, true]);
   expect(appends).toEqual(1);
 });
+
+// Guards against clients that are refused for seconds though another process reaches the store.
+test('stores a job through another process when the store turns this one away', async () => {
+  const { front } = create({
+    append: () => Promise.resolve('refused'),
+    relayAppend: () => Promise.resolve('appended'),
+  });
+  expect((await front.submit(job, 1_000)).isOk).toEqual(true);
+});
+
+// Guards against a job that is shown as running for as long as this process is cut off.
+test('asks the owner for the state when the replica is behind', async () => {
+  const { front, state } = create({ relayOutcome: 'completed' });
+  state.apply({ kind: 'job', job });
+  const outcome = await front.outcomeOf(job.id);
+  expect(outcome.isOk && outcome.value).toEqual('completed');
+});
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -21,10 +21,15 @@
   /** Waits until the replica has all that is in the log now; false when that cannot be known. */
   sync: (timeoutMs: number) => Promise<boolean>;
   append: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
+  /** Reaches the store through another process; `refused` when that does not work either. */
+  relayAppend: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
+  relayOutcome: (id: string) => Promise<JobOutcome | undefined>;
 }
 
 /** A store that was silent for this long in ms is taken as away: requests are refused at once. */
 const STORE_AWAY_MS = 1_000;
+/** A replica older than this in ms may show a job as running that has ended: the owner is asked. */
+const REPLICA_BEHIND_MS = 900;
 /** Longest time in ms that an answer waits for the replica to catch up. */
 const SYNC_MS = 1_000;
 
@@ -55,6 +60,11 @@
   /** State of a job. Fails with `unknown-job`, or with `log-unavailable` when that cannot be known. */
   async outcomeOf(id: string): Promise<Result<JobOutcome, Failure>> {
     const known = this.options.state().outcomeOf(id) ?? this.overlay(id);
+    const mayHaveEnded = known === undefined || known === 'queued' || known === 'running';
+    if (mayHaveEnded && this.options.replicaAgeMs() > REPLICA_BEHIND_MS) {
+      const relayed = await this.options.relayOutcome(id);
+      if (relayed !== undefined) return Result.ok(relayed);
+    }
     if (known !== undefined) return Result.ok(known);
     const isCurrent = await this.options.sync(SYNC_MS);
     const found = this.options.state().outcomeOf(id) ?? this.overlay(id);
@@ -67,8 +77,7 @@
     const outcome = await this.outcomeOf(id);
     if (outcome.isErr) return Result.err(outcome.error);
     if (this.options.state().ended.has(id)) return Result.ok();
-    if (this.isStoreAway()) return Result.err(this.unavailable('the cancel cannot be stored'));
-    const cancelled = this.options.append({ kind: 'cancel', id }).then((result) => {
+    const cancelled = this.store({ kind: 'cancel', id }).then((result) => {
       if (result === 'appended') return Result.ok();
       return Result.err(
         result === 'refused'
@@ -91,12 +100,14 @@
     this.accepted.delete(id);
   }
 
-  private async appendJob(job: CellJob): Promise<Result<Unit, Failure>> {
-    if (this.isStoreAway()) {
-      this.noteRefusal(job.id, 'store-away');
-      return Result.err(this.unavailable('the store is out of reach'));
-    }
-    const submission = this.options.append({ kind: 'job', job }).then((result) => {
+  /** Appends a record, through another process when the store turns this one away. */
+  private async store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
+    const direct = this.isStoreAway() ? 'refused' : await this.options.append(record);
+    return direct === 'refused' ? this.options.relayAppend(record) : direct;
+  }
+
+  private appendJob(job: CellJob): Promise<Result<Unit, Failure>> {
+    const submission = this.store({ kind: 'job', job }).then((result) => {
       this.inFlight.delete(job.id);
       if (result === 'appended') {
         if (!this.isKnown(job.id)) this.accepted.add(job.id);
--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -81,14 +81,17 @@
   observe(record: CellRecord, effective: boolean): void {
     if (record.kind === 'job' || record.kind === 'cancel') return;
     this.silentMs = 0;
+    // A sign of life clears every doubt but that about a life that is over.
+    if (this.suspected !== undefined && this.suspected.silenceMs > 0) this.suspected = undefined;
     if (record.kind === 'claim' && effective) this.observeClaim(record.owner);
   }
 
   /**
    * Shortens the wait for a silent owner. `replaced`: another life answers at its address, so it is gone
-   * for certain. `refused`: nobody listens there, or a firewall refuses in its place.
+   * for certain. `refused`: nobody listens there, or a firewall refuses in its place. `turned-away`: the
+   * owner itself says that the store does not answer it.
    */
-  suspect(owner: string, reason: 'replaced' | 'refused'): void {
+  suspect(owner: string, reason: 'replaced' | 'refused' | 'turned-away'): void {
     const silenceMs = reason === 'replaced' ? 0 : REFUSED_SILENCE_MS;
     if (this.suspected?.owner === owner && this.suspected.silenceMs <= silenceMs) return;
     this.suspected = { owner, silenceMs };
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -5,6 +5,7 @@
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import { CellFront } from '@acaciahoist/cell-front';
 import { CellReplica } from '@acaciahoist/cell-log';
+import { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
 import { Appender } from '@acaciahoist/cell-log/appender';
 import { CellOwnership } from '@acaciahoist/cell-log/cell-ownership';
 import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
@@ -22,6 +23,7 @@
 import { isAdvice } from './is-advice.js';
 import { OwnerLog } from './owner-log.js';
 import type { PeerCalls } from './peer-calls.js';
+import { Relay } from './relay.js';
 
 interface Options {
   clock: Clock;
@@ -60,6 +62,10 @@
 /** Interval of calls to the owner in ms; also finds an owner whose process is gone. */
 const OFFER_HELP_MS = 300;
 const OFFER_TIMEOUT_MS = 700;
+/** An owner that the store has not answered for this long in ms is turned away or cut off. */
+const OWNER_STORE_SILENT_MS = 700;
+/** A process that the store has not answered for this long in ms relays nothing. */
+const RELAY_STORE_SILENT_MS = 700;
 /** Longest time in ms that a stopping owner waits until its release is stored. */
 const RELEASE_MS = 700;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
@@ -136,15 +142,24 @@
         log('error', 'front-fenced', {});
       },
     });
+    const relay = Relay.create({
+      peers: options.peers,
+      ownerAddress: () => {
+        const address = this.replica.state.claim?.address;
+        return address === options.peerAddress ? undefined : address;
+      },
+    });
     this.front = CellFront.create({
       clock,
       log,
       count: options.count,
       state: () => this.replica.state,
       replicaAgeMs: () => this.replica.ageMs(),
-      storeSilentMs: () => clock.monotonicMs() - store.lastAnswerMs(),
+      storeSilentMs: () => this.storeSilentMs(),
       sync: (timeoutMs) => this.replica.sync(timeoutMs),
       append: (record) => this.appender.append([recordCodec.encode(record)]),
+      relayAppend: (record) => relay.append(recordCodec.encode(record)),
+      relayOutcome: (id) => relay.outcomeOf(id),
     });
     this.configurationFollower = KeyedFollower.create({
       clock,
@@ -362,8 +377,14 @@
     }
     const offer = { address: peerAddress };
     const reply = await peers.call(claim.address, 'offer-help', offer, OFFER_TIMEOUT_MS);
-    if (reply.isOk && reply.value.life !== claim.owner)
-      this.ownership.suspect(claim.owner, 'replaced');
+    if (reply.isErr) return;
+    if (reply.value.life !== claim.owner) this.ownership.suspect(claim.owner, 'replaced');
+    else if (reply.value.storeSilentMs > OWNER_STORE_SILENT_MS)
+      this.ownership.suspect(claim.owner, 'turned-away');
+  }
+
+  private storeSilentMs(): number {
+    return this.options.clock.monotonicMs() - this.options.store.lastAnswerMs();
   }
 
   private async answerPeer(type: string, body: unknown): Promise<Result<unknown, Failure>> {
@@ -372,7 +393,19 @@
       this.owner?.helperSeen(address, (step, workers, timeoutMs) =>
         this.askHelper(address, step, workers, timeoutMs),
       );
-      return ResultModule.ok({ life: this.self });
+      return ResultModule.ok({ life: this.self, storeSilentMs: this.storeSilentMs() });
+    }
+    if (type === 'relay-record') {
+      const { data } = body as { data: Uint8Array };
+      const isReachable = this.storeSilentMs() < RELAY_STORE_SILENT_MS;
+      return ResultModule.ok({
+        outcome: isReachable ? await this.appender.append([data]) : AppendOutcome.refused,
+      });
+    }
+    if (type === 'relay-outcome') {
+      const isCurrent = this.replica.ageMs() < READY_AGE_MS;
+      const { job } = body as { job: string };
+      return ResultModule.ok({ outcome: isCurrent ? (this.outcomeOf(job) ?? '') : '' });
     }
     if (type === 'advise') {
       const { step, workers, timeoutMs } = body as {
--- a/packages/cell-process/src/peer-calls.ts
+++ b/packages/cell-process/src/peer-calls.ts
@@ -9,7 +9,7 @@
     handle: (type: string, body: unknown) => Promise<Result<unknown, Failure>>,
     onRefused: (address: string) => void,
   ): Promise<void>;
-  call<Type extends 'offer-help' | 'advise'>(
+  call<Type extends 'offer-help' | 'advise' | 'relay-record' | 'relay-outcome'>(
     address: string,
     type: Type,
     body: PeerCallMap[Type]['request'],
--- a/packages/entry/src/peer-service.ts
+++ b/packages/entry/src/peer-service.ts
@@ -49,6 +49,8 @@
     this.handlers = {
       'offer-help': notServed,
       advise: notServed,
+      'relay-record': notServed,
+      'relay-outcome': notServed,
       probe: () => Promise.resolve(Result.ok({})),
       heartbeat: (body, from) => Promise.resolve(Result.ok(membership.acceptHeartbeat(from, body))),
       digest: ({ views }) => Promise.resolve(Result.ok({ views: membership.acceptDigest(views) })),
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -77,5 +77,7 @@
   'fence-slots': object({ partition: string, token: number }),
   'offer-help': object({ address: string }),
   advise: object({ step: string, workers: list(string, 256), timeoutMs: number }),
+  'relay-record': object({ data: bytes }),
+  'relay-outcome': object({ job: string }),
   'read-configuration': object({}),
 };
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -50,9 +50,13 @@
   /** Sent to the owner of the cell: the sender calls the advice service on request. */
   'offer-help': {
     request: { address: string };
-    /** `life`: name and incarnation of the process that replies. */
-    reply: { life: string };
+    /** `life`: name and incarnation of the process that replies; time since the store answered it. */
+    reply: { life: string; storeSilentMs: number };
   };
+  /** Sent by a process that the store turns away: the receiver appends the record in its place. */
+  'relay-record': { request: { data: Uint8Array }; reply: { outcome: string } };
+  /** Sent by a process whose replica is behind. `outcome` is empty for an unknown job. */
+  'relay-outcome': { request: { job: string }; reply: { outcome: string } };
   advise: {
     request: { step: string; workers: readonly string[]; timeoutMs: number };
     reply: { advice: unknown };
