--- a/lint/layers.mjs
+++ b/lint/layers.mjs
@@ -32,7 +32,14 @@
 ];
 
 /** Packages that every package may import. */
-export const sharedPackages = ['clock', 'errors', 'types', 'cell-types'];
+export const sharedPackages = ['clock', 'errors', 'types', 'cell-types', 'random'];
 
 /** Packages that assemble processes and may import every package. */
-export const assemblyPackages = ['entry', 'cell-process', 'cell-emulator', 'stand-in', 'bench', 'cli'];
+export const assemblyPackages = [
+  'entry',
+  'cell-process',
+  'cell-emulator',
+  'stand-in',
+  'bench',
+  'cli',
+];
--- a/packages/bench/src/placement/create-families.ts
+++ b/packages/bench/src/placement/create-families.ts
@@ -1,4 +1,4 @@
-import type { Random } from './random.js';
+import type { Random } from '@acaciahoist/random';
 import type { WorkloadFamily } from './workload-family.js';
 
 const MILLICORES = [500, 1_000, 2_000, 4_000, 8_000] as const;
--- a/packages/bench/src/placement/create-workload.ts
+++ b/packages/bench/src/placement/create-workload.ts
@@ -2,7 +2,7 @@
 import type { Arrival } from './arrival.js';
 import { createFamilies } from './create-families.js';
 import { createWorkers } from './create-workers.js';
-import { Random } from './random.js';
+import { Random } from '@acaciahoist/random';
 import type { Workload } from './workload.js';
 import type { WorkloadFamily } from './workload-family.js';
 
--- a/packages/bench/src/placement/fake-cell.ts
+++ b/packages/bench/src/placement/fake-cell.ts
@@ -4,7 +4,7 @@
 import type { Arrival } from './arrival.js';
 import type { FakeTask } from './fake-task.js';
 import type { FakeWorker } from './fake-worker.js';
-import { Random } from './random.js';
+import { Random } from '@acaciahoist/random';
 import type { Workload } from './workload.js';
 
 const CHECKPOINT_MS = 300;
--- a/packages/bench/src/placement/late-reports.ts
+++ b/packages/bench/src/placement/late-reports.ts
@@ -1,6 +1,6 @@
 import type { WorkerReport } from '@acaciahoist/types/worker-report';
 import type { FakeCell } from './fake-cell.js';
-import type { Random } from './random.js';
+import type { Random } from '@acaciahoist/random';
 
 interface Delivery {
   atMs: number;
--- a/packages/bench/src/placement/measure-throughput.ts
+++ b/packages/bench/src/placement/measure-throughput.ts
@@ -2,7 +2,7 @@
 import { Placement } from '@acaciahoist/placement';
 import { createFamilies } from './create-families.js';
 import { createWorkers } from './create-workers.js';
-import { Random } from './random.js';
+import { Random } from '@acaciahoist/random';
 import { TimedCalls } from './timed-calls.js';
 
 interface Settings {
--- a/packages/bench/src/placement/simulation.ts
+++ b/packages/bench/src/placement/simulation.ts
@@ -9,7 +9,7 @@
 import type { FakeTask } from './fake-task.js';
 import { LateReports } from './late-reports.js';
 import type { PolicyResult } from './policy-result.js';
-import { Random } from './random.js';
+import { Random } from '@acaciahoist/random';
 import { TimedCalls } from './timed-calls.js';
 import { ViolationLog } from './violation-log.js';
 import { WaitLog } from './wait-log.js';
--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -265,8 +265,8 @@
       number,
       [
         {
-          count: 1 + cell.random.below(4),
-          estimateMs: 200 + cell.random.below(3_000),
+          count: 1 + cell.random.integer(0, 4 - 1),
+          estimateMs: 200 + cell.random.integer(0, 3_000 - 1),
           gang: isGang,
         },
         ...(number % 2 === 0 ? [{ count: 2, after: [0], millicores: 3_000 }] : []),
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -14,7 +14,7 @@
 import { EmulatedWorker } from './emulated-worker.js';
 import { findViolations } from './find-violations.js';
 import type { HistoryEvent } from './history-event.js';
-import { Random } from './random.js';
+import { Random } from '@acaciahoist/random';
 
 /** A worker of the emulated cell has this room. */
 const WORKER_MILLICORES = 8_000;
@@ -135,7 +135,7 @@
       configurationKey: 'config',
       retentionMs: 120_000,
       ownerSilenceMs: 1_000,
-      claimJitterMs: this.random.below(300),
+      claimJitterMs: this.random.integer(0, 300 - 1),
       decodeConfiguration: (data) =>
         JSON.parse(Buffer.from(data).toString()) as ReturnType<
           Parameters<typeof CellProcess.create>[0]['decodeConfiguration']
--- a/packages/cell-owner/src/worker-health.ts
+++ b/packages/cell-owner/src/worker-health.ts
@@ -4,8 +4,21 @@
   atMs: number;
   /** 1 for a failed run, 0 for one that ended well. */
   failed: number;
-  /** Run time against the cell's usual one for the queue; undefined when it says nothing. */
-  slowness: number | undefined;
+  /** How far the speed of the run is from that of its queue; undefined when it was not measured. */
+  slowness: Slowness | undefined;
+}
+
+interface Slowness {
+  /** Logarithm of the run time against the usual one. */
+  log: number;
+  /** The same in units of the queue's usual deviation. */
+  deviations: number;
+}
+
+/** Logarithm of the ratio of run time to estimate that is usual for a queue. */
+interface UsualSpeed {
+  mean: number;
+  deviation: number;
 }
 
 interface Ailment {
@@ -19,12 +32,21 @@
 /** Fewest samples for a verdict. */
 const MIN_FAILURES = 3;
 const MIN_SLOW = 2;
+/** Deviations that make a verdict of slowness; the ratios of rough estimates are skewed, so 3 are few. */
+const SLOW_DEVIATIONS = 5;
+/** Deviations that a single run on probation must exceed to count as slow. */
+const PROBATION_DEVIATIONS = 2;
+/** Least deviation that is assumed for a queue: few runs, or estimates that are exact, show none. */
+const MIN_DEVIATION = 0.25;
+const FIRST_DEVIATION = 0.6;
+/** Standard deviation in units of the mean absolute one, for a normal distribution. */
+const STANDARD_PER_MEAN = 1.25;
 /** A worker fails when this share of its runs fails, and that share is this multiple of the cell's. */
 const FAILING_SHARE = 0.5;
 const FAILING_FACTOR = 3;
-/** A worker is slow when its runs take this multiple of the cell's usual time. */
-const SLOW_FACTOR = 2.2;
-/** Weight of a new run in the usual ratio of run time to estimate of a queue. */
+/** Least multiple of the cell's usual run time that counts as slow. */
+const SLOW_FACTOR = 1.8;
+/** Weight of a new run in the usual speed of a queue. */
 const LEARNING_RATE = 0.05;
 /** Time in ms for which a worker is out; doubles with each failed probation. */
 const OUT_MS = 2_500;
@@ -44,8 +66,7 @@
 
   private readonly samples = new Map<string, Sample[]>();
   private readonly ailments = new Map<string, Ailment>();
-  /** Usual ratio of run time to estimate by queue. */
-  private readonly usualRatio = new Map<string, number>();
+  private readonly usual = new Map<string, UsualSpeed>();
   private readonly blamed = new Map<string, Set<string>>();
 
   private constructor(private readonly clock: Clock) {}
@@ -61,31 +82,22 @@
     return this.ailments.get(worker)?.reason;
   }
 
-  /** A run ended well after `ratio` times its estimate. True when the worker is newly judged slow. */
-  succeeded(worker: string, queue: string, ratio: number): boolean {
-    const usual = this.usualRatio.get(queue) ?? ratio;
-    const slowness = ratio / Math.max(0.01, usual);
+  /**
+   * A run takes `ratio` times its estimate, by its progress or its end. To be called once a run. True
+   * when the worker is newly judged slow.
+   */
+  measured(worker: string, queue: string, ratio: number): boolean {
+    const log = Math.log(Math.max(0.01, ratio));
+    const usual = this.usual.get(queue) ?? { mean: log, deviation: FIRST_DEVIATION };
+    const away = log - usual.mean;
+    const deviations = away / Math.max(MIN_DEVIATION, usual.deviation);
     // A slow worker must not become the measure of the others.
-    const learned = Math.min(ratio, usual * SLOW_FACTOR);
-    this.usualRatio.set(queue, usual + (learned - usual) * LEARNING_RATE);
-    this.add(worker, { failed: 0, slowness });
-    if (slowness < SLOW_FACTOR) {
-      const wasOut = this.ailments.get(worker);
-      if (wasOut !== undefined && this.fitness(worker) === 'probation') this.recover(worker);
-      return false;
-    }
-    return this.judge(worker);
-  }
-
-  /** True when a run that takes `ratio` times its estimate is slow for its queue. */
-  isSlow(queue: string, ratio: number): boolean {
-    const usual = this.usualRatio.get(queue);
-    return usual !== undefined && ratio / usual >= SLOW_FACTOR;
-  }
-
-  /** The progress of a run shows that it is slow. To be called once a run. */
-  slowed(worker: string): boolean {
-    this.add(worker, { failed: 0, slowness: SLOW_FACTOR });
+    const learned = Math.max(-1, Math.min(1, away));
+    this.usual.set(queue, {
+      mean: usual.mean + learned * LEARNING_RATE,
+      deviation: usual.deviation + (Math.abs(learned) * STANDARD_PER_MEAN - usual.deviation) * LEARNING_RATE,
+    });
+    this.add(worker, { failed: 0, slowness: { log: away, deviations } });
     return this.judge(worker);
   }
 
@@ -125,13 +137,19 @@
 
   private judge(worker: string): boolean {
     const own = this.samples.get(worker) ?? [];
-    const failures = own.reduce((sum, sample) => sum + sample.failed, 0);
-    const isOnProbation = this.fitness(worker) === 'probation';
     const last = own[own.length - 1];
-    if (isOnProbation && last !== undefined) {
-      const isBad = last.failed === 1 || (last.slowness ?? 0) >= SLOW_FACTOR;
-      return isBad && this.takeOut(worker, last.failed === 1 ? 'failing' : 'slow');
+    if (last !== undefined && this.fitness(worker) === 'probation') {
+      const isSlow =
+        last.slowness !== undefined &&
+        last.slowness.log >= Math.log(SLOW_FACTOR) &&
+        last.slowness.deviations >= PROBATION_DEVIATIONS;
+      if (last.failed === 0 && !isSlow) {
+        this.recover(worker);
+        return false;
+      }
+      return this.takeOut(worker, isSlow ? 'slow' : 'failing');
     }
+    const failures = own.reduce((sum, sample) => sum + sample.failed, 0);
     const share = failures / own.length;
     if (
       failures >= MIN_FAILURES &&
@@ -139,10 +157,13 @@
       share >= FAILING_FACTOR * this.failingShareOfOthers(worker)
     )
       return this.takeOut(worker, 'failing');
-    const slow = own.filter((sample) => (sample.slowness ?? 0) >= SLOW_FACTOR).length;
-    const measured = own.filter((sample) => sample.slowness !== undefined).length;
-    if (slow >= MIN_SLOW && slow / measured > FAILING_SHARE) return this.takeOut(worker, 'slow');
-    return false;
+    const speeds = own.flatMap((sample) => sample.slowness ?? []);
+    if (speeds.length < MIN_SLOW) return false;
+    const log = speeds.reduce((sum, speed) => sum + speed.log, 0) / speeds.length;
+    const deviations = speeds.reduce((sum, speed) => sum + speed.deviations, 0);
+    const isSlow =
+      log >= Math.log(SLOW_FACTOR) && deviations / Math.sqrt(speeds.length) >= SLOW_DEVIATIONS;
+    return isSlow && this.takeOut(worker, 'slow');
   }
 
   private failingShareOfOthers(worker: string): number {
