Repeat an append soon when its answer is lost

Ruled out: double writes (repeats come under their sequence number). Change: the limit follows the time of the newest answer, 200 ms at least, and doubles after four attempts.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -87,6 +87,26 @@
   expect(cell.unfinished()).toEqual([]);
 });
 
+// Guards against decisions that stall for the whole time limit of an append whose answer is lost.
+test('goes on quickly while answers of the store are lost', async () => {
+  const cell = await startCell(12);
+  cell.store.faultFor = (_caller, kind) =>
+    kind === 'append' && cell.random.next() < 0.4 ? CallFault.answerLost : CallFault.none;
+  for (let number = 1; number <= 40; number += 1) {
+    void cell.submit(makeJob(number, [{ estimateMs: 50 }]), `p${number % 3}`);
+    await cell.run(100);
+  }
+  await cell.run(3_000);
+  const waits = [...cell.accepted].map((id) => {
+    const started = cell.history.find((event) => event.task.startsWith(id));
+    return (started?.atMs ?? Number.POSITIVE_INFINITY) - (2_000 + (parseInt(id, 16) - 1) * 100);
+  });
+  const meanMs = waits.reduce((sum, wait) => sum + wait, 0) / waits.length;
+  expect(waits.length).toEqual(40);
+  expect(meanMs < 1_000).toEqual(true);
+  expect(cell.violations()).toEqual([]);
+});
+
 // Guards against claims that are lost to the records of clients: with `at` as their condition, every
 // job that arrived meanwhile made a claim fail.
 test('takes over while clients keep submitting', async () => {
--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -78,7 +78,7 @@
     const result = fault === CallFault.none || fault === CallFault.answerLost;
     const committed = result ? this.commit(request) : undefined;
     if (fault === CallFault.none && committed !== undefined) return committed;
-    await this.pause(LIMIT_MS);
+    await this.pause(request.timeoutMs ?? LIMIT_MS);
     return { kind: 'unknown', reason: 'emulated' };
   }
 
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -29,6 +29,12 @@
 const MAX_BATCH_BYTES = 1_000_000;
 /** Pause in ms before an append is repeated; a store that answers "busy" needs time. */
 const RETRY_MS = 60;
+/** Bounds in ms of the time limit of an append. An answer takes 5 ms, 350 ms when the store is slow. */
+const MIN_TIMEOUT_MS = 200;
+const MAX_TIMEOUT_MS = 1_200;
+const TIMEOUT_FACTOR = 4;
+/** Attempts with the first limit: answers that are lost one by one must not add up to seconds. */
+const PATIENT_ATTEMPTS = 4;
 
 /**
  * Appends records to one topic, one append at a time; records that arrive meanwhile go together into
@@ -43,6 +49,8 @@
   private waiting: Batch[] = [];
   private isRunning = false;
   private isClosed = false;
+  /** Time in ms that the newest answer took. */
+  private answerMs = 0;
   private sequence: number;
   private epoch: number;
 
@@ -102,13 +110,16 @@
     const { store, topic, clock, log, insists } = this.options;
     let isUnknown = false;
     for (let attempt = 1; ; attempt += 1) {
+      const sentMs = clock.monotonicMs();
       const result: AppendResult = await store.append({
         topic,
+        timeoutMs: this.timeoutFor(attempt),
         records,
         producer: { name: this.options.producer, epoch: this.epoch, sequence: this.sequence },
       });
       if (result.kind === 'appended') {
         this.sequence += 1;
+        this.answerMs = clock.monotonicMs() - sentMs;
         return AppendOutcome.appended;
       }
       if (result.kind === 'fenced') {
@@ -131,7 +142,15 @@
         log('warn', 'append-not-answered', { topic, result: result.kind, reason: result.reason });
       if (this.isClosed) return isUnknown ? AppendOutcome.unknown : AppendOutcome.refused;
       if (!insists && !isUnknown) return AppendOutcome.refused;
-      await new Promise<void>((resolve) => clock.after(RETRY_MS, resolve));
+      // An answer that was lost comes again at once; a store that is busy needs a pause.
+      const pauseMs = result.kind === 'unknown' ? 0 : RETRY_MS;
+      if (pauseMs > 0) await new Promise<void>((resolve) => clock.after(pauseMs, resolve));
     }
   }
+
+  /** A multiple of the last answer's time, doubled when several attempts were not answered. */
+  private timeoutFor(attempt: number): number {
+    const firstMs = Math.max(MIN_TIMEOUT_MS, this.answerMs * TIMEOUT_FACTOR);
+    return Math.min(MAX_TIMEOUT_MS, firstMs * 2 ** Math.max(0, attempt - PATIENT_ATTEMPTS));
+  }
 }
--- a/packages/cell-owner/src/worker-health.ts
+++ b/packages/cell-owner/src/worker-health.ts
@@ -95,7 +95,8 @@
     const learned = Math.max(-1, Math.min(1, away));
     this.usual.set(queue, {
       mean: usual.mean + learned * LEARNING_RATE,
-      deviation: usual.deviation + (Math.abs(learned) * STANDARD_PER_MEAN - usual.deviation) * LEARNING_RATE,
+      deviation:
+        usual.deviation + (Math.abs(learned) * STANDARD_PER_MEAN - usual.deviation) * LEARNING_RATE,
     });
     this.add(worker, { failed: 0, slowness: { log: away, deviations } });
     return this.judge(worker);
