Read again when a waiting read misses records that are there

Ruled out: a store that is down (appends were answered). Change: an acknowledged append tells how far the log reaches; a read without wait follows after 50 ms. Figures: emulator 'goes on while waiting reads hear nothing' fails before, passes after.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -107,6 +107,16 @@
   expect(cell.violations()).toEqual([]);
 });
 
+// Guards against starts that stall for a second while waiting reads hear nothing (dropped history).
+test('goes on while waiting reads hear nothing', async () => {
+  const cell = await startCell(13);
+  cell.store.faultFor = (_caller, kind) => (kind === 'wait' ? CallFault.lost : CallFault.none);
+  const submitted = cell.submit(makeJob(1), cell.ownerName() ?? '');
+  await cell.run(600);
+  expect(await submitted).toEqual('accepted');
+  expect(cell.history.some((event) => event.kind === 'started')).toEqual(true);
+});
+
 // Guards against claims that are lost to the records of clients: with `at` as their condition, every
 // job that arrived meanwhile made a claim fail.
 test('takes over while clients keep submitting', async () => {
--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -21,8 +21,8 @@
 
   private readonly topics = new Map<string, EmulatedTopic>();
   private readonly keyed = new Map<string, Map<string, Uint8Array>>();
-  /** Chooses the fault of a call by the caller's name. */
-  faultFor: (caller: string, kind: 'append' | 'read') => CallFault = () => CallFault.none;
+  /** Chooses the fault of a call by the caller's name; `wait` is a read that waits for records. */
+  faultFor: (caller: string, kind: 'append' | 'read' | 'wait') => CallFault = () => CallFault.none;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -93,6 +93,10 @@
       await this.pause(LIMIT_MS);
       return { kind: 'failed', reason: 'emulated' };
     }
+    if (waitMs > 0 && this.faultFor(caller, 'wait') !== CallFault.none) {
+      await this.pause(LIMIT_MS);
+      return { kind: 'failed', reason: 'emulated' };
+    }
     const endMs = this.clock.monotonicMs() + waitMs;
     for (;;) {
       const result = this.topic(topic).read(from);
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -18,6 +18,8 @@
   /** Time in ms for which a record waits for others, so that one call takes them all. */
   lingerMs?: number;
   onFenced: () => void;
+  /** The topic holds records up to this offset now. */
+  onAppended?: (end: number) => void;
 }
 
 interface Batch {
@@ -120,6 +122,7 @@
       if (result.kind === 'appended') {
         this.sequence += 1;
         this.answerMs = clock.monotonicMs() - sentMs;
+        this.options.onAppended?.(result.offset + records.length);
         return AppendOutcome.appended;
       }
       if (result.kind === 'fenced') {
--- a/packages/cell-log/src/index.ts
+++ b/packages/cell-log/src/index.ts
@@ -23,6 +23,8 @@
 
 /** Longest wait of a read in ms; a store that is away is noticed after this time. */
 const READ_WAIT_MS = 400;
+/** Time in ms after which records that are known to be there are read beside the read that waits. */
+const OVERDUE_MS = 50;
 /** Pause in ms after a read that failed. */
 const RETRY_MS = 100;
 
@@ -36,6 +38,7 @@
   isLoaded = false;
   private isStopped = false;
   private isLost = false;
+  private isOverdueRead = false;
   /**
    * Monotonic time of the newest answer that reached the end of the log. A read that waits is answered
    * as of the end of its wait, so the time at which it was sent would age a quiet log.
@@ -57,7 +60,7 @@
     await this.load();
     while (!this.isStopped) {
       const sentMs = this.options.clock.monotonicMs();
-      const isCaughtUp = await this.readOnce();
+      const isCaughtUp = await this.readOnce(READ_WAIT_MS);
       const gapMs = this.options.gapMs() - (this.options.clock.monotonicMs() - sentMs);
       if (isCaughtUp && gapMs > 0) await this.pause(gapMs);
     }
@@ -90,6 +93,19 @@
     });
   }
 
+  /**
+   * The log is known to hold records up to `end`. Reads again when the read that waits does not return
+   * them: a waiting read may hear nothing for a second while the store drops its history.
+   */
+  expect(end: number): void {
+    if (this.isOverdueRead || this.state.nextOffset >= end) return;
+    this.isOverdueRead = true;
+    this.options.clock.after(OVERDUE_MS, () => {
+      this.isOverdueRead = false;
+      if (this.state.nextOffset < end && !this.isStopped) void this.readOnce(0);
+    });
+  }
+
   private async load(): Promise<void> {
     const { log, retentionMs } = this.options;
     while (!this.isStopped) {
@@ -110,9 +126,10 @@
   }
 
   /** True when the replica has reached the end of the log. */
-  private async readOnce(): Promise<boolean> {
+  private async readOnce(waitMs: number): Promise<boolean> {
     const { store, topic, log } = this.options;
-    const result = await store.read(topic, this.state.nextOffset, READ_WAIT_MS);
+    const from = this.state.nextOffset;
+    const result = await store.read(topic, from, waitMs);
     if (this.isStopped) return true;
     if (result.kind === 'failed') {
       if (!this.isLost)
@@ -124,10 +141,12 @@
     if (this.isLost) log('info', 'cell-log-regained', { offset: this.state.nextOffset });
     this.isLost = false;
     if (result.kind === 'expired') {
-      await this.skipExpired(result.first);
+      if (this.state.nextOffset < result.first) await this.skipExpired(result.first);
       return false;
     }
-    for (const data of result.records) this.applyOne(data);
+    // Another read may have brought some of these records meanwhile.
+    const known = this.state.nextOffset - from;
+    for (const data of result.records.slice(known)) this.applyOne(data);
     this.settleWaiters();
     if (this.state.nextOffset < result.end) return false;
     this.currentAsOfMs = this.options.clock.monotonicMs();
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -296,6 +296,9 @@
       onFenced: () => {
         this.ownership.fenced('store');
       },
+      onAppended: (end) => {
+        this.replica.expect(end);
+      },
     });
     const owner = CellOwner.create({
       clock,
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -19,6 +19,8 @@
   snapshots: SnapshotStore;
   state: () => CellState;
   onFenced: () => void;
+  /** The cell log holds records up to this offset now. */
+  onAppended: (end: number) => void;
 }
 
 /** What an owner writes: records of the cell under its epoch, a sign of life, and snapshots. */
@@ -47,6 +49,7 @@
       producer,
       sequence: 1,
       lingerMs: limits.lingerMs,
+      onAppended: options.onAppended,
     });
     this.snapshotRecords = Appender.create({
       ...common,
