--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -52,6 +52,9 @@
   private readonly runs = new Map<string, Run>();
   private ended: EndedRun[] = [];
   private endCount = 0;
+  /** How often the lease has lapsed, in all and at the time of each end. */
+  private lapses = 0;
+  private readonly lapsesAtEnd = new Map<number, number>();
   /** Highest run that was stopped or ended, by task. */
   private readonly over = new Map<string, number>();
 
@@ -129,7 +132,10 @@
     this.token = order.token;
     this.extend(order.leaseUntilMs);
     for (const end of this.ended) {
-      if (end.number <= order.acknowledgedEnd) this.note('noted', end.task, end.run, end.how);
+      // An end counts as noted unless the lease lapsed before it was acknowledged.
+      const isCurrent = this.lapsesAtEnd.get(end.number) === this.lapses;
+      if (end.number <= order.acknowledgedEnd && isCurrent)
+        this.note('noted', end.task, end.run, end.how);
     }
     this.ended = this.ended.filter((end) => end.number > order.acknowledgedEnd);
     return {
@@ -202,6 +208,7 @@
     this.runs.delete(task);
     this.over.set(task, Math.max(run, this.over.get(task) ?? 0));
     this.endCount += 1;
+    this.lapsesAtEnd.set(this.endCount, this.lapses);
     this.ended.push({ number: this.endCount, task, run, how, checkpoint: '' });
     this.note('ended', task, run, how);
     this.options.gangs.leave(gangKey(task, run), task);
@@ -212,6 +219,7 @@
     this.leaseUntilMs = untilMs;
     this.options.clock.after(untilMs - this.workerMs(), () => {
       if (this.workerMs() < this.leaseUntilMs || !this.isUp) return;
+      this.lapses += 1;
       for (const run of [...this.runs.values()]) this.finish(run.task, run.run, RunEnd.lapsed);
     });
   }
