Try a failed task on another worker

Ruled out: a poisoned job (others failed there once and ended elsewhere). Change: the planner passes over the worker on which a task failed last while there are others. Figures: planner test fails before, passes after.

--- a/packages/cell-owner/src/list-ready-steps.ts
+++ b/packages/cell-owner/src/list-ready-steps.ts
@@ -55,9 +55,11 @@
   if (!isOpen || (step.gang && entry.placed > 0)) return undefined;
   const waiting: number[] = [];
   const placedOn = new Map<string, number>();
+  const failedOn = new Map<number, string>();
   entry.tasks.forEach((task, taskIndex) => {
     const name = taskName.format({ job: job.id, occurrence, step: index, index: taskIndex });
     const worker = task.phase === 'placed' ? task.worker : options.proposedWorker(name);
+    if (task.failures > 0) failedOn.set(taskIndex, task.worker);
     if (task.phase === 'waiting' && worker === undefined) waiting.push(taskIndex);
     else if (worker !== undefined) placedOn.set(worker, (placedOn.get(worker) ?? 0) + 1);
   });
@@ -74,6 +76,7 @@
     step,
     waiting,
     placedOn,
+    failedOn,
     sinceMs,
     objectiveMs: sinceMs + job.queue.stretch * longestMs + job.queue.baseMs,
     remainingMs: chain[index] ?? 0,
--- a/packages/cell-planner/src/index.test.ts
+++ b/packages/cell-planner/src/index.test.ts
@@ -86,3 +86,11 @@
   const urgent = step('c', { queue: { ...batch.queue, priority: 0 } });
   expect(planCell([urgent], [bad()], 0).starts).toEqual([]);
 });
+
+// Guards against a failing worker that uses up all attempts of a task by itself.
+test('tries a failed task on another worker', () => {
+  const failed = step('a', { failedOn: new Map([[0, 'w0']]) });
+  const workers = [worker('w0', { freeMillicores: 1_500 }), worker('w1')];
+  expect(planCell([failed], workers, 0).starts).toEqual([{ key: 'a', index: 0, worker: 'w1' }]);
+  expect(planCell([failed], [worker('w0')], 0).starts.length).toEqual(1);
+});
--- a/packages/cell-planner/src/pack-tasks.ts
+++ b/packages/cell-planner/src/pack-tasks.ts
@@ -25,6 +25,7 @@
     let best: PlannedWorker | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
     for (const worker of candidates) {
+      if (step.failedOn.get(index) === worker.id && candidates.length > 1) continue;
       if (limit > 0 && (counts.get(worker.id) ?? 0) >= limit) continue;
       if (!fits(ledger.roomFor(worker), size)) continue;
       const score = scoreOf(step, worker, size);
--- a/packages/cell-planner/src/planner-fixture.ts
+++ b/packages/cell-planner/src/planner-fixture.ts
@@ -36,6 +36,7 @@
       queue: { name: 'q', service: 'work', priority: 1, maxAttempts: 2, stretch: 2, baseMs: 1_000 },
       waiting: Array.from({ length: count }, (_, index) => index),
       placedOn: new Map(),
+      failedOn: new Map(),
       sinceMs: 0,
       objectiveMs: 5_000,
       remainingMs: 1_000,
--- a/packages/cell-planner/src/ready-step.ts
+++ b/packages/cell-planner/src/ready-step.ts
@@ -11,6 +11,8 @@
   waiting: readonly number[];
   /** Tasks of the step by worker; counts against `maxPerWorker`. */
   placedOn: ReadonlyMap<string, number>;
+  /** Worker on which a waiting task failed last, by its index: another one is tried first. */
+  failedOn: ReadonlyMap<number, string>;
   /** When the job became due to run: its acceptance or its set time. */
   sinceMs: number;
   /** Time up to which the job earns its full worth. */
