--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -6,7 +6,7 @@
 const clockOnly = 'Take the time from a Clock (package "clock").';
 
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', 'dist/**', '**/*.mjs'] },
+  { ignores: ['**/node_modules/**', 'dist/**', 'target/**', '**/*.mjs'] },
   js.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- /dev/null
+++ b/packages/cell-state/src/index.test.ts
@@ -0,0 +1,170 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { CellJob } from '@acaciahoist/cell-types';
+import type { CellStep } from '@acaciahoist/cell-types/cell-step';
+import { RunEnd } from '@acaciahoist/cell-types/run-end';
+import { CellState } from './index.js';
+import { recordCodec } from './record-codec.js';
+import { snapshotCodec } from './snapshot-codec.js';
+
+const id = '00000000000000aa';
+
+function job(step: Partial<CellStep> = {}, maxAttempts = 2): CellJob {
+  return {
+    id,
+    queue: { name: 'q', service: 's', priority: 0, maxAttempts, stretch: 1, baseMs: 0 },
+    payload: 'x',
+    steps: [
+      {
+        count: 2,
+        millicores: 100,
+        memoryMib: 10,
+        accelerators: 0,
+        estimateMs: 100,
+        after: [],
+        gang: false,
+        sameRack: false,
+        label: '',
+        dataRack: '',
+        maxPerWorker: 0,
+        checkpointing: false,
+        speculative: false,
+        longRunning: false,
+        usesSpareCpu: false,
+        image: '',
+        tailTargetMs: 0,
+        maxUnavailable: 0,
+        ...step,
+      },
+    ],
+    occurrences: 1,
+    firstRunMs: 0,
+    intervalMs: 0,
+    receivedMs: 0,
+  };
+}
+
+const start = (index: number, run = 1) =>
+  ({ kind: 'start', task: `${id}.0.0.${index}`, run, worker: 'w' }) as const;
+const end = (index: number, how: RunEnd, run = 1, saved = '') =>
+  ({ kind: 'end', task: `${id}.0.0.${index}`, run, how, saved }) as const;
+
+// Guards against a job that is accepted twice when clients repeat it, also after its end.
+test('a repeated job stays one job', () => {
+  const state = CellState.create(1_000);
+  expect(state.apply({ kind: 'job', job: job() })).toEqual(true);
+  expect(state.apply({ kind: 'job', job: job() })).toEqual(false);
+  state.apply({ kind: 'cancel', id });
+  expect(state.apply({ kind: 'job', job: job() })).toEqual(false);
+  expect(state.outcomeOf(id)).toEqual('cancelled');
+});
+
+// Guards against starts of what was cancelled, runs already, or has a higher run.
+test('late starts and ends have no effect', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  expect(state.apply(start(0))).toEqual(true);
+  expect(state.apply(start(0, 2))).toEqual(false);
+  expect(state.apply(end(0, RunEnd.done, 2))).toEqual(false);
+  expect(state.apply(end(0, RunEnd.lost))).toEqual(true);
+  expect(state.apply(start(0, 1))).toEqual(false);
+  expect(state.apply(start(0, 2))).toEqual(true);
+  state.apply({ kind: 'cancel', id });
+  expect(state.apply(start(1))).toEqual(false);
+});
+
+// Guards against attempts that are counted for ends which are not failures.
+test('only failed runs count as attempts', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  for (const [run, how] of [RunEnd.stopped, RunEnd.lost, RunEnd.lapsed, RunEnd.broken].entries()) {
+    state.apply(start(0, run + 1));
+    state.apply(end(0, how, run + 1));
+  }
+  expect(state.outcomeOf(id)).toEqual('running');
+  state.apply(start(0, 5));
+  state.apply(end(0, RunEnd.failed, 5));
+  state.apply(start(0, 6));
+  state.apply(end(0, RunEnd.failed, 6));
+  expect(state.outcomeOf(id)).toEqual('failed');
+});
+
+// Guards against a gang whose one failure is counted once for each member.
+test('a gang fails once a run and is done with one member', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job({ gang: true }) });
+  state.apply(start(0));
+  state.apply(start(1));
+  state.apply(end(0, RunEnd.failed));
+  state.apply(end(1, RunEnd.failed));
+  expect(state.outcomeOf(id)).toEqual('running');
+  state.apply(start(0, 2));
+  state.apply(start(1, 2));
+  state.apply(end(1, RunEnd.done, 2));
+  expect(state.outcomeOf(id)).toEqual('completed');
+});
+
+// Guards against room of an ended job that is given away while its runs are still being stopped.
+test('runs of an ended job are known until they end', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  state.apply(start(0));
+  state.apply({ kind: 'cancel', id });
+  expect(state.placementOf(`${id}.0.0.0`)?.worker).toEqual('w');
+  expect(state.apply(end(0, RunEnd.stopped))).toEqual(true);
+  expect(state.placementOf(`${id}.0.0.0`)).toEqual(undefined);
+});
+
+// Guards against two owners with one token, and against a claim that takes the cell back.
+test('of two claims with one token the first counts', () => {
+  const state = CellState.create(1_000);
+  const claim = (owner: string, token: number) =>
+    ({ kind: 'claim', owner, address: owner, token, wallMs: 0 }) as const;
+  expect(state.apply(claim('a', 3))).toEqual(true);
+  expect(state.apply(claim('b', 3))).toEqual(false);
+  expect(state.apply(claim('c', 2))).toEqual(false);
+  expect(state.claim?.owner).toEqual('a');
+});
+
+// Guards against a pending count that drifts from the jobs.
+test('counts pending jobs through start, cancel and end', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  expect(state.pendingOf('q')).toEqual(1);
+  state.apply(start(0));
+  expect(state.pendingOf('q')).toEqual(0);
+  state.apply({ kind: 'cancel', id });
+  expect(state.pendingOf('q')).toEqual(0);
+});
+
+// Guards against memory that grows with every job that ever ended.
+test('forgets ended jobs after the retention', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  state.apply({ kind: 'cancel', id });
+  state.apply({ kind: 'renew', wallMs: 900 });
+  expect(state.outcomeOf(id)).toEqual('cancelled');
+  state.apply({ kind: 'renew', wallMs: 1_100 });
+  expect(state.outcomeOf(id)).toEqual(undefined);
+});
+
+// Guards against a snapshot that loses or changes something.
+test('a snapshot restores the same state', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'claim', owner: 'a', address: 'x', token: 4, wallMs: 7 });
+  state.apply({ kind: 'job', job: job() });
+  state.apply(start(0));
+  state.apply(end(0, RunEnd.lost, 1, 'saved'));
+  state.apply(start(1));
+  const copy = snapshotCodec.decode(snapshotCodec.encode(state), 1_000);
+  expect(snapshotCodec.encode(copy)).toEqual(snapshotCodec.encode(state));
+  expect(copy.pendingOf('q')).toEqual(state.pendingOf('q'));
+  expect(copy.taskOf(`${id}.0.0.0`)?.task.checkpoint).toEqual('saved');
+});
+
+// Guards against foreign bytes in the log that end the process.
+test('bytes that are no record are told apart', () => {
+  expect(recordCodec.decode(Buffer.from('x'))).toEqual(undefined);
+  expect(recordCodec.decode(Buffer.alloc(0))).toEqual(undefined);
+  expect(recordCodec.decode(recordCodec.encode({ kind: 'release' }))).toEqual({ kind: 'release' });
+});
