--- a/packages/cell-emulator/src/make-job.ts
+++ b/packages/cell-emulator/src/make-job.ts
@@ -1,5 +1,6 @@
 import type { CellJob } from '@acaciahoist/cell-types';
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
+import { plainStep } from '@acaciahoist/cell-types/plain-step';
 
 /** A job for tests; every field of a step has a plain default. */
 export function makeJob(
@@ -21,27 +22,7 @@
         : {}),
     },
     payload: options.payload ?? 'plain',
-    steps: steps.map((step) => ({
-      count: 1,
-      millicores: 1_000,
-      memoryMib: 100,
-      accelerators: 0,
-      estimateMs: 300,
-      after: [],
-      gang: false,
-      sameRack: false,
-      label: '',
-      dataRack: '',
-      maxPerWorker: 0,
-      checkpointing: false,
-      speculative: false,
-      longRunning: false,
-      usesSpareCpu: false,
-      image: '',
-      tailTargetMs: 0,
-      maxUnavailable: 0,
-      ...step,
-    })),
+    steps: steps.map((step) => ({ ...plainStep, ...step })),
     occurrences: 1,
     firstRunMs: 0,
     intervalMs: 0,
--- a/packages/cell-planner/src/planner-fixture.ts
+++ b/packages/cell-planner/src/planner-fixture.ts
@@ -1,4 +1,5 @@
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
+import { plainStep } from '@acaciahoist/cell-types/plain-step';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
 import type { StepAdvice } from './step-advice.js';
@@ -41,27 +42,7 @@
       objectiveMs: 5_000,
       remainingMs: 1_000,
       advice: undefined,
-      step: {
-        count,
-        millicores: 1_000,
-        memoryMib: 100,
-        accelerators: 0,
-        estimateMs: 1_000,
-        after: [],
-        gang: false,
-        sameRack: false,
-        label: '',
-        dataRack: '',
-        maxPerWorker: 0,
-        checkpointing: false,
-        speculative: false,
-        longRunning: false,
-        usesSpareCpu: false,
-        image: '',
-        tailTargetMs: 0,
-        maxUnavailable: 0,
-        ...step,
-      },
+      step: { ...plainStep, estimateMs: 1_000, ...step },
       ...rest,
     };
   },
--- a/packages/cell-state/src/index.test.ts
+++ b/packages/cell-state/src/index.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import type { CellJob } from '@acaciahoist/cell-types';
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
+import { plainStep } from '@acaciahoist/cell-types/plain-step';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import { CellState } from './index.js';
 import { recordCodec } from './record-codec.js';
@@ -14,29 +15,7 @@
     id,
     queue: { name: 'q', service: 's', priority: 0, maxAttempts, stretch: 1, baseMs: 0 },
     payload: 'x',
-    steps: [
-      {
-        count: 2,
-        millicores: 100,
-        memoryMib: 10,
-        accelerators: 0,
-        estimateMs: 100,
-        after: [],
-        gang: false,
-        sameRack: false,
-        label: '',
-        dataRack: '',
-        maxPerWorker: 0,
-        checkpointing: false,
-        speculative: false,
-        longRunning: false,
-        usesSpareCpu: false,
-        image: '',
-        tailTargetMs: 0,
-        maxUnavailable: 0,
-        ...step,
-      },
-    ],
+    steps: [{ ...plainStep, count: 2, ...step }],
     occurrences: 1,
     firstRunMs: 0,
     intervalMs: 0,
