--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -1,8 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
-import type { EndedRun } from '@acaciahoist/cell-types/ended-run';
-import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import { StopReply } from '@acaciahoist/cell-types/stop-reply';
 import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
@@ -15,6 +13,7 @@
 import { expectedEnd } from './expected-end.js';
 import { limits } from './limits.js';
 import { Proposals } from './proposals.js';
+import { RunTracker } from './run-tracker.js';
 import { RunTable } from './run-table.js';
 import type { RunView } from './run-view.js';
 import type { OwnerContext } from './owner-context.js';
@@ -59,11 +58,9 @@
   private readonly book: AdviceBook;
   private readonly desk: AdviceDesk;
   private readonly health: WorkerHealth;
-  /** Time of the newest list of runs by worker. */
-  private readonly heldMs = new Map<string, number>();
   private readonly ownedSinceMs: number;
   private isStopped = false;
-  private readonly judge: RunJudge;
+  private readonly tracker: RunTracker;
   private readonly starter: StartSender;
   private readonly loop: PlanLoop;
   /** Jobs whose end was logged; several leftover runs end after their job. */
@@ -92,7 +89,7 @@
         this.sendStop(link, view);
       },
     };
-    this.judge = RunJudge.create(context);
+    this.tracker = RunTracker.create(context, RunJudge.create(context));
     this.starter = StartSender.create(context);
     this.loop = PlanLoop.create(context, this.desk);
   }
@@ -197,7 +194,9 @@
       token,
       mayExtend: () => storeSilentMs() < limits.extendWithoutStoreMs,
       onHeld: (from, reply, sentMs) => {
-        this.held(from, reply, sentMs);
+        if (this.isStopped) return;
+        this.tracker.held(from, reply, sentMs);
+        this.loop.request();
       },
       onFenced: () => {
         this.options.onFenced();
@@ -234,84 +233,6 @@
       this.proposeEnd(view, RunEnd.lost, 'worker-gone');
   }
 
-  private held(
-    link: WorkerLink,
-    reply: Extract<HoldReply, { kind: 'held' }>,
-    sentMs: number,
-  ): void {
-    if (this.isStopped) return;
-    const nowMs = this.options.clock.monotonicMs();
-    const unseenMs = nowMs - (this.heldMs.get(link.id) ?? nowMs);
-    this.heldMs.set(link.id, nowMs);
-    const listed = new Set<string>();
-    for (const ended of reply.ended) {
-      listed.add(ended.task);
-      if (ended.number > link.seenEnd) this.runEnded(link, ended);
-    }
-    for (const row of reply.running) {
-      const view = this.runs.get(row.task);
-      const isKnown = view?.worker === link.id && view.run === row.run;
-      if (!isKnown) {
-        this.stopStray(link, row.task, row.run);
-        continue;
-      }
-      listed.add(row.task);
-      if (view.phase !== 'running') {
-        view.phase = 'running';
-        view.settledMs = nowMs;
-      }
-      // What the worker did while it did not answer says nothing about its speed.
-      if (row.percent !== view.percent || unseenMs > limits.silentWorkerMs) {
-        view.percent = row.percent;
-        view.percentAtMs = nowMs;
-      }
-      if (row.checkpoint !== '') view.checkpoint = row.checkpoint;
-      if (!this.isWanted(view)) this.sendStop(link, view);
-      else this.judge.checkProgress(link, view, nowMs);
-    }
-    for (const view of [...this.runs.on(link.id)]) {
-      if (!listed.has(view.task)) this.runMissing(link, view, sentMs);
-    }
-    this.acknowledgeEnds(link);
-    this.loop.request();
-  }
-
-  private runEnded(link: WorkerLink, ended: EndedRun): void {
-    link.seenEnd = Math.max(link.seenEnd, ended.number);
-    const view = this.runs.get(ended.task);
-    if (view?.run !== ended.run || view.worker !== link.id) return;
-    this.judge.judgeEnd(view, ended.how);
-    if (ended.checkpoint !== '') view.checkpoint = ended.checkpoint;
-    this.proposeEnd(view, ended.how, 'reported');
-  }
-
-  /** Ends count as taken note of only when all of them are recorded. */
-  private acknowledgeEnds(link: WorkerLink): void {
-    for (const view of this.runs.on(link.id))
-      if (this.proposals.hasEnd(view.task, view.run)) return;
-    link.acknowledgedEnd = link.seenEnd;
-  }
-
-  /** A recorded run that the worker lists neither as running nor as ended. */
-  private runMissing(link: WorkerLink, view: RunView, sentMs: number): void {
-    if (view.phase === 'sending' || sentMs < view.settledMs) return;
-    if (this.proposals.hasEnd(view.task, view.run)) return;
-    if (view.phase === 'unknown') {
-      const isStopped = view.stopConfirmedMs > 0 && sentMs > view.stopConfirmedMs;
-      if (isStopped) this.proposeEnd(view, RunEnd.lost, 'start-not-carried-out');
-      else if (view.stopConfirmedMs === 0) this.sendStop(link, view);
-      return;
-    }
-    // A worker that has seen this owner's token refuses the starts of former owners.
-    const reason = view.phase === 'inherited' ? 'start-not-carried-out' : 'not-listed';
-    this.proposeEnd(view, RunEnd.lost, reason);
-  }
-
-  private isWanted(view: RunView): boolean {
-    const found = this.options.state.taskOf(view.task);
-    return found?.task.phase === 'placed' && found.task.run === view.run;
-  }
-
   private sendStop(link: WorkerLink, view: RunView): void {
     const nowMs = this.options.clock.monotonicMs();
     if (nowMs - view.stopSentMs < limits.stopRepeatMs) return;
@@ -325,13 +246,6 @@
     });
   }
 
-  /** Stops what runs without a record, such as a start that was carried out late. */
-  private stopStray(link: WorkerLink, task: string, run: number): void {
-    this.options.log('warn', 'stray-run-stopped', { worker: link.id, task, run });
-    this.options.count('stray_runs_total');
-    void link.client.stop(task, run, this.options.token);
-  }
-
   /** Stops work that can resume from a checkpoint and would not end before its worker leaves. */
   private moveFromLeavingWorkers(): void {
     const nowMs = this.options.clock.monotonicMs();
@@ -381,7 +295,7 @@
     if (view?.run !== record.run) return;
     this.runs.remove(record.task);
     const link = this.links.get(view.worker);
-    if (link !== undefined) this.acknowledgeEnds(link);
+    if (link !== undefined) this.tracker.acknowledgeEnds(link);
     const ref = taskName.parse(record.task);
     if (ref === undefined) return;
     const ended = this.options.state.ended.get(ref.job);
