--- /dev/null
+++ b/packages/cell-process/src/bound-log.test.ts
@@ -0,0 +1,21 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { boundLog } from './bound-log.js';
+
+// Guards against a burst of events that fills disks and takes the processor, and against lines that
+// disappear without a trace.
+test('bounds the lines, keeps errors, and says how many were left out', () => {
+  const clock = ManualClock.create();
+  const events: string[] = [];
+  const log = boundLog((_level, event, fields) => {
+    events.push(event === 'lines-suppressed' ? `${event}=${String(fields?.lines)}` : event);
+  }, clock);
+  for (let index = 0; index < 1_000; index += 1) log('info', 'line');
+  log('error', 'alarm');
+  expect(events.length).toEqual(402);
+  expect(events.slice(-2)).toEqual(['lines-suppressed=600', 'alarm']);
+  clock.advance(1_000);
+  log('info', 'later');
+  expect(events.at(-1)).toEqual('later');
+});
