Hand jobs of a partition without workers to another partition

Ruled out: moving workers between partitions: a worker has one fencing token for all of them, and tokens are offsets of different streams. Re-hashing keys over the partitions with workers: processes see the VM list at different times. Change: the owner of an empty partition journals where the key goes and every repetition follows; without a place it refuses as not run.

--- a/packages/entry/src/caller-service.ts
+++ b/packages/entry/src/caller-service.ts
@@ -10,9 +10,12 @@
 import type { Declaration } from '@acaciahoist/types/declaration';
 import type { HttpAnswer } from '@acaciahoist/types/http-answer';
 import type { HttpRequest } from '@acaciahoist/types/http-request';
+import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
+import type { Submission } from '@acaciahoist/types/submission';
 import type { JobStatus } from '@acaciahoist/types/job-status';
 import type { ServiceDeclaration } from '@acaciahoist/types/service-declaration';
 import type { TokenGrant } from '@acaciahoist/types/token-grant';
+import { chooseFallbackPartition } from './choose-fallback-partition.js';
 import { chooseSubmitPartition } from './choose-submit-partition.js';
 import type { EntryContext } from './entry-context.js';
 import { explainKeyedFailure } from './explain-keyed-failure.js';
@@ -133,22 +136,37 @@
     call: Call<'submit'>,
     grant: TokenGrant | null,
   ): Promise<Result<{ jobId: string }, Failure>> {
-    const { partitions, context, owners } = this.options;
+    const { partitions, context } = this.options;
     const declaration = partitions.currentDeclaration();
     if (declaration === undefined) return notDeclared();
     const { spec, deadlineMs } = call;
     const fault = findSubmitFault(declaration, spec, grant);
     if (fault !== undefined) return Result.err(fault);
-    const partition = chooseSubmitPartition(
-      spec.key,
-      partitions.layout(),
-      context.membership,
-      context.settings.dataCentre,
-    );
+    const { membership, settings, clock } = context;
+    const layout = partitions.layout();
+    const partition = chooseSubmitPartition(spec.key, layout, membership, settings.dataCentre);
     if (partition === undefined) return notDeclared();
-    const body = { partition, spec, deadlineMs };
-    const submitted = await owners.call(partition, 'forward-submit', body, deadlineMs);
-    return spec.key === undefined ? submitted : submitted.mapErr(explainKeyedFailure);
+    const endMs = clock.monotonicMs() + deadlineMs;
+    const fallback = chooseFallbackPartition(partition, layout, membership, settings.dataCentre);
+    let submitted = await this.forward(partition, {
+      spec,
+      deadlineMs,
+      ...(fallback !== undefined && { fallback }),
+    });
+    if (submitted.isOk && 'delegatedTo' in submitted.value) {
+      const leftMs = Math.max(0, endMs - clock.monotonicMs());
+      submitted = await this.forward(submitted.value.delegatedTo, { spec, deadlineMs: leftMs });
+    }
+    if (spec.key === undefined) return toJobId(submitted);
+    return toJobId(submitted).mapErr(explainKeyedFailure);
+  }
+
+  private forward(
+    partition: string,
+    body: Omit<PeerCallMap['forward-submit']['request'], 'partition'>,
+  ): Promise<Result<Submission, Failure>> {
+    const call = { partition, ...body };
+    return this.options.owners.call(partition, 'forward-submit', call, body.deadlineMs);
   }
 
   private async answerRequest(
@@ -266,6 +284,15 @@
   return undefined;
 }
 
+/** The partition that a key was delegated to accepts the job itself; it was given no fallback. */
+function toJobId(submitted: Result<Submission, Failure>): Result<{ jobId: string }, Failure> {
+  return submitted.andThen((submission): Result<{ jobId: string }, Failure> => {
+    if ('jobId' in submission) return Result.ok(submission);
+    const message = `the key was handed on again to ${submission.delegatedTo}`;
+    return Result.err(Failure.create(ErrorKind.internal, message));
+  });
+}
+
 function notDeclared(): Result<never, Failure> {
   const message = 'no declaration is in force; publish one with "acaciahoist apply"';
   return Result.err(Failure.create(ErrorKind.notReady, message));
--- a/packages/entry/src/choose-submit-partition.ts
+++ b/packages/entry/src/choose-submit-partition.ts
@@ -1,5 +1,6 @@
 import type { Membership } from '@acaciahoist/membership';
 import type { PartitionLayout } from './partition-layout.js';
+import { rankByBacklog } from './rank-by-backlog.js';
 
 /**
  * The partition of a new job: by its key, so that every process finds the same one; without a key the
@@ -12,10 +13,6 @@
   dataCentre: string,
 ): string | undefined {
   if (key !== undefined) return layout.forKey(key);
-  const own = new Set(layout.ofDataCentre(dataCentre));
-  const views = membership.listViews().filter((view) => layout.all().includes(view.partition));
-  const [best] = views.sort(
-    (a, b) => a.backlog - b.backlog || Number(own.has(b.partition)) - Number(own.has(a.partition)),
-  );
+  const [best] = rankByBacklog(layout, membership, dataCentre);
   return best?.partition ?? layout.ofDataCentre(dataCentre)[0];
 }
--- a/packages/entry/src/index.test.ts
+++ b/packages/entry/src/index.test.ts
@@ -125,3 +125,39 @@
   const cancelled = await cell.call(1, 'DELETE', path);
   expect((cancelled.body as { state: string }).state === 'running').toEqual(false);
 });
+
+// Guards against keyed jobs that wait for ever in a partition to which no worker is hashed.
+test('jobs with a key end although three of four partitions have no worker', async (context) => {
+  const cell = await EmbeddedCell.create({
+    dataCentres: { 'dc-a': 2 },
+    users: ['u'],
+    standIn: { workers: { count: 1, usageLagMs: 50 }, runners: { count: 1, services: ['lookup'] } },
+  });
+  context.after(() => cell.stop());
+  const text = declaration
+    .replace('"region": "r", "partitions": 1 }', '"region": "r", "partitions": 4 }')
+    .replace('{ "name": "dc-b", "region": "r", "partitions": 1 },', '');
+  await cell.call(0, 'POST', '/configuration', { baseRevision: 0, text });
+  await cell.until('owners', () => cell.countOwnedPartitions().then((count) => count === 4));
+  const submit = async (key: number): Promise<string> => {
+    const body = { ...batch(50), key: `key-${key}` };
+    let jobId: string | undefined;
+    // Until the VM list is known the job is refused as not run.
+    await cell.until('an accepted job', async () => {
+      const answer = await cell.call(key % 2, 'POST', '/jobs', body);
+      jobId = (answer.body as { jobId?: string }).jobId;
+      return jobId !== undefined;
+    });
+    return jobId ?? '';
+  };
+  const keys = Array.from({ length: 12 }, (_, index) => index);
+  const jobIds = await Promise.all(keys.map(submit));
+  expect(new Set(jobIds).size).toEqual(12);
+  for (const jobId of jobIds) {
+    await cell.until(`the end of ${jobId}`, async () => {
+      const status = await cell.call(0, 'GET', `/jobs/${encodeURIComponent(jobId)}`);
+      return (status.body as { outcome?: string }).outcome === 'completed';
+    });
+  }
+  expect(await Promise.all(keys.map((key) => submit(key)))).toEqual(jobIds);
+});
--- a/packages/entry/src/peer-service.ts
+++ b/packages/entry/src/peer-service.ts
@@ -115,7 +115,7 @@
       return Result.err(Failure.create(ErrorKind.badRequest, 'the job spec is malformed'));
     }
     const submitted = await this.withOwned(body.partition, (owned) =>
-      owned.jobs.submit(spec.value),
+      owned.jobs.submit(spec.value, body.fallback),
     );
     return spec.value.key === undefined
       ? submitted
--- /dev/null
+++ b/packages/entry/src/rank-by-backlog.ts
@@ -0,0 +1,16 @@
+import type { Membership } from '@acaciahoist/membership';
+import type { PartitionView } from '@acaciahoist/types/partition-view';
+import type { PartitionLayout } from './partition-layout.js';
+
+/** Partitions by known backlog, the lowest first and the own data centre first among equals. */
+export function rankByBacklog(
+  layout: PartitionLayout,
+  membership: Pick<Membership, 'listViews'>,
+  dataCentre: string,
+): PartitionView[] {
+  const own = new Set(layout.ofDataCentre(dataCentre));
+  const views = membership.listViews().filter((view) => layout.all().includes(view.partition));
+  return [...views].sort(
+    (a, b) => a.backlog - b.backlog || Number(own.has(b.partition)) - Number(own.has(a.partition)),
+  );
+}
--- a/packages/journal/src/apply-entry.ts
+++ b/packages/journal/src/apply-entry.ts
@@ -28,6 +28,7 @@
     case 'key-claimed':
     case 'key-done':
     case 'key-expired':
+    case 'job-key-delegated':
       return applyKeyEntry(state, policy, entry);
     case 'requests-counted':
       return countRequests(state, policy, entry);
--- a/packages/journal/src/apply-job-entry.ts
+++ b/packages/journal/src/apply-job-entry.ts
@@ -14,6 +14,7 @@
   if (state.jobs.has(jobId)) return false;
   // At most one job per idempotency key, also when two submissions were recorded.
   if (spec.key !== undefined && state.jobKeys.has(spec.key)) return false;
+  if (spec.key !== undefined && state.delegatedJobKeys.has(spec.key)) return false;
   state.jobs.set(jobId, {
     jobId,
     spec,
--- a/packages/journal/src/apply-key-entry.ts
+++ b/packages/journal/src/apply-key-entry.ts
@@ -62,11 +62,19 @@
   return true;
 }
 
+/** The first decision about a job key stands: a job of this partition, or a delegation. */
+function delegateJobKey(state: JournalState, entry: Entry<'job-key-delegated'>): boolean {
+  const { key, specDigest, partition, atMs } = entry;
+  if (state.jobKeys.has(key) || state.delegatedJobKeys.has(key)) return false;
+  state.delegatedJobKeys.set(key, { key, specDigest, partition, atMs });
+  return true;
+}
+
 /** Applies an entry about a key. Returns false when it has no effect. */
 export function applyKeyEntry(
   state: JournalState,
   policy: JournalPolicy,
-  entry: Entry<'key-claimed' | 'key-done' | 'key-expired'>,
+  entry: Entry<'key-claimed' | 'key-done' | 'key-expired' | 'job-key-delegated'>,
 ): boolean {
   switch (entry.type) {
     case 'key-claimed':
@@ -75,5 +83,7 @@
       return finishKey(state, policy, entry);
     case 'key-expired':
       return dropKey(state, entry.key);
+    case 'job-key-delegated':
+      return delegateJobKey(state, entry);
   }
 }
--- a/packages/journal/src/create-state.ts
+++ b/packages/journal/src/create-state.ts
@@ -6,6 +6,7 @@
     jobs: new Map(),
     taskJobs: new Map(),
     jobKeys: new Map(),
+    delegatedJobKeys: new Map(),
     keys: new Map(),
     armed: new Map(),
     openPeriods: new Map(),
--- a/packages/journal/src/index.test.ts
+++ b/packages/journal/src/index.test.ts
@@ -133,6 +133,13 @@
   task.map(({ taskId, atMs }) => claimed(taskId, atMs)),
   task.map(({ taskId, atMs }) => done(taskId, atMs, 20)),
   task.map(({ taskId, atMs }) => ({ type: 'key-expired', key: taskId, atMs })),
+  task.map(({ taskId, atMs }) => ({
+    type: 'job-key-delegated',
+    key: taskId,
+    specDigest: 'd',
+    partition: 'p.1',
+    atMs,
+  })),
   fc.tuple(number, times).map(([sequence, atMs]) => ({
     type: 'requests-counted',
     process: 'p',
--- a/packages/journal/src/is-journal-entry.ts
+++ b/packages/journal/src/is-journal-entry.ts
@@ -32,6 +32,12 @@
   },
   'key-done': { key: 'string', outcome: 'string', reply: 'nullable', atMs: 'number' },
   'key-expired': { key: 'string', atMs: 'number' },
+  'job-key-delegated': {
+    key: 'string',
+    specDigest: 'string',
+    partition: 'string',
+    atMs: 'number',
+  },
   'requests-counted': {
     process: 'string',
     incarnation: 'string',
--- a/packages/journal/src/journal-limits.ts
+++ b/packages/journal/src/journal-limits.ts
@@ -10,6 +10,13 @@
   allReplyBytes: 4 * 1024 * 1024,
   /** Time for which a key with a recorded outcome is kept. A claimed key without one is never pruned. */
   keyLifetimeMs: 24 * 3_600_000,
+  /**
+   * Time for which the partition that took a job key over is remembered. Longer than a job may take,
+   * because a repeated submission must find the same partition.
+   */
+  delegatedJobKeyMs: 30 * 24 * 3_600_000,
+  /** Most delegated job keys; beyond it the owner delegates no more. 100 bytes each in a snapshot. */
+  delegatedJobKeys: 50_000,
   /** Time for which an ended job is kept. */
   endedJobMs: 24 * 3_600_000,
   /** Most ended jobs without a key; jobs with a key are kept for the whole time, as the key must be. */
--- a/packages/journal/src/journal-state.ts
+++ b/packages/journal/src/journal-state.ts
@@ -1,6 +1,7 @@
 import type { AccountRow } from './account-row.js';
 import type { ArmedOpening } from './armed-opening.js';
 import type { ClosedPeriod } from './closed-period.js';
+import type { DelegatedJobKey } from './delegated-job-key.js';
 import type { JournalJob } from './journal-job.js';
 import type { JournalKey } from './journal-key.js';
 
@@ -11,6 +12,8 @@
   taskJobs: Map<string, string>;
   /** Job of each idempotency key of a job. */
   jobKeys: Map<string, string>;
+  /** Job keys that another partition took over, in order of time. */
+  delegatedJobKeys: Map<string, DelegatedJobKey>;
   keys: Map<string, JournalKey>;
   /** Armed tasks by task id. */
   armed: Map<string, ArmedOpening>;
--- a/packages/journal/src/prune-state.ts
+++ b/packages/journal/src/prune-state.ts
@@ -40,6 +40,11 @@
     const doneAtMs = state.keys.get(key)?.doneAtMs ?? 0;
     return atMs - doneAtMs >= JournalLimits.keyLifetimeMs && dropKey(state, key);
   });
+  pruneOldest(state.delegatedJobKeys.keys(), (key) => {
+    const delegatedAtMs = state.delegatedJobKeys.get(key)?.atMs ?? 0;
+    const isOld = atMs - delegatedAtMs >= JournalLimits.delegatedJobKeyMs;
+    return isOld && state.delegatedJobKeys.delete(key);
+  });
   pruneOldest(state.counted.keys(), (process) => {
     const countedAtMs = state.counted.get(process)?.atMs ?? 0;
     const isOld = atMs - countedAtMs >= JournalLimits.countedMs;
--- a/packages/journal/src/restore-state.ts
+++ b/packages/journal/src/restore-state.ts
@@ -3,6 +3,7 @@
 import type { AccountRow } from './account-row.js';
 import type { ArmedOpening } from './armed-opening.js';
 import type { ClosedPeriod } from './closed-period.js';
+import type { DelegatedJobKey } from './delegated-job-key.js';
 import { hasFields } from './has-fields.js';
 import type { JournalJob } from './journal-job.js';
 import type { JournalKey } from './journal-key.js';
@@ -17,6 +18,8 @@
 interface SavedState {
   version: number;
   jobs: SavedJob[];
+  /** Absent in snapshots that were written before keys could be delegated. */
+  delegatedJobKeys?: DelegatedJobKey[];
   keys: JournalKey[];
   armed: ArmedOpening[];
   openPeriods: [string, [string, AccountRow][]][];
@@ -74,6 +77,9 @@
     jobs: new Map(jobs.map((job) => [job.jobId, job])),
     taskJobs: new Map(taskJobs),
     jobKeys: new Map(jobKeys),
+    delegatedJobKeys: new Map(
+      (saved.delegatedJobKeys ?? []).map((delegated) => [delegated.key, delegated]),
+    ),
     keys: new Map(saved.keys.map((key) => [key.key, key])),
     armed: new Map(saved.armed.map((opening) => [opening.taskId, opening])),
     openPeriods: new Map(openPeriods),
--- a/packages/journal/src/save-state.ts
+++ b/packages/journal/src/save-state.ts
@@ -9,6 +9,7 @@
       tasks: [...job.tasks.values()],
       endedTasks: [...job.endedTasks],
     })),
+    delegatedJobKeys: [...state.delegatedJobKeys.values()],
     keys: [...state.keys.values()],
     armed: [...state.armed.values()],
     openPeriods: [...state.openPeriods].map(([period, rows]) => [period, [...rows]]),
--- a/packages/partition-owner/src/index.ts
+++ b/packages/partition-owner/src/index.ts
@@ -7,6 +7,9 @@
 import type { Decision } from '@acaciahoist/placement/decision';
 import type { JobEnd } from '@acaciahoist/placement/job-end';
 import type { JobSpec } from '@acaciahoist/types/job-spec';
+import { noWorkersBacklog } from '@acaciahoist/types/no-workers-backlog';
+import type { PartitionId } from '@acaciahoist/types/partition-id';
+import type { Submission } from '@acaciahoist/types/submission';
 import type { JobStatus } from '@acaciahoist/types/job-status';
 import type { JournalEntry } from '@acaciahoist/types/journal-entry';
 import type { TeamQuota } from '@acaciahoist/types/team-quota';
@@ -19,6 +22,7 @@
 import { restoreJobs } from './restore-jobs.js';
 import type { ServiceJob } from './service-job.js';
 import { ServiceReconciler } from './service-reconciler.js';
+import type { SubmissionRule } from './submission-rule.js';
 import { Submissions } from './submissions.js';
 import { TaskStarter } from './task-starter.js';
 import { TaskTable } from './task-table.js';
@@ -31,7 +35,7 @@
 const OUTBOX_RETRY_MS = 250;
 /** Time between rounds while nothing changes; dates and back-offs are looked at this often. */
 const IDLE_ROUND_MS = 250;
-const NO_WORKERS_BACKLOG = 1_000_000;
+
 const NO_RESOURCES = { millicores: 0, memoryMib: 0, accelerators: {} };
 
 /**
@@ -77,7 +81,7 @@
     this.services = ServiceReconciler.create({
       clock,
       listJobs: () => ledger.state().jobs.values(),
-      submit: (spec) => this.submit(spec),
+      submit: (spec) => this.submitService(spec),
       cancel: (jobId) => this.cancel(jobId),
       replace: (jobId, spec) => this.replaceService(jobId, spec),
       isStopped: () => this.isStopped,
@@ -180,10 +184,19 @@
     this.services.set(services);
   }
 
-  /** Accepts a job durably. Fails with `never-runnable` after recording the refusal. */
-  async submit(spec: JobSpec): Promise<Result<{ jobId: string }, Failure>> {
-    const accepted = await this.submissions.accept(spec);
+  /**
+   * Accepts a job durably. While the partition has no worker the job goes to the partition `fallback`,
+   * and every repetition of its key too; without a fallback it is refused as not run. Fails with
+   * `never-runnable` after recording the refusal.
+   */
+  async submit(spec: JobSpec, fallback?: PartitionId): Promise<Result<Submission, Failure>> {
+    const accepted = await this.submissions.accept(spec, this.submissionRule(fallback));
     if (accepted.isErr) return Result.err(accepted.error);
+    if (accepted.value.kind === 'delegated') {
+      const { partition } = accepted.value;
+      this.options.log('job-delegated', { key: spec.key ?? '', to: partition });
+      return Result.ok({ delegatedTo: partition });
+    }
     const { jobId, isNew } = accepted.value;
     if (!isNew) return Result.ok({ jobId });
     return this.place(jobId, spec);
@@ -247,11 +260,33 @@
 
   /** Waiting jobs, for the routing of submissions; a partition without workers must not attract any. */
   backlog(): number {
-    if (this.listed.size === 0) return NO_WORKERS_BACKLOG;
+    if (!this.hasWorkers()) return noWorkersBacklog;
     const { waiting } = this.placement.describe();
     return waiting.urgent + waiting.service + waiting.gang + waiting.batch;
   }
 
+  private submissionRule(fallback: PartitionId | undefined): SubmissionRule {
+    if (this.hasWorkers()) return { kind: 'accept' };
+    if (fallback !== undefined) return { kind: 'delegate', partition: fallback };
+    const message = `partition ${this.options.partition} has no worker and knows of none elsewhere`;
+    return { kind: 'refuse', message };
+  }
+
+  /** Accepts a declared service, also while no worker is known: it must run here and nowhere else. */
+  private async submitService(spec: JobSpec): Promise<Result<{ jobId: string }, Failure>> {
+    const accepted = await this.submissions.accept(spec, { kind: 'accept' });
+    return accepted.andThen((submission): Result<{ jobId: string }, Failure> =>
+      submission.kind === 'accepted'
+        ? this.place(submission.jobId, spec)
+        : Result.err(Failure.create(ErrorKind.internal, 'a service has no key')),
+    );
+  }
+
+  /** True when the partition has a worker that is not leaving. */
+  private hasWorkers(): boolean {
+    return [...this.listed.values()].some((worker) => !worker.leaving);
+  }
+
   describe(): Record<string, unknown> {
     return {
       placement: this.placement.describe(),
--- a/packages/partition-owner/src/submissions.ts
+++ b/packages/partition-owner/src/submissions.ts
@@ -3,14 +3,17 @@
 import type { Clock } from '@acaciahoist/clock';
 import { Failure } from '@acaciahoist/errors';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
+import { JournalLimits } from '@acaciahoist/journal/journal-limits';
 import type { JobSpec } from '@acaciahoist/types/job-spec';
+import type { PartitionId } from '@acaciahoist/types/partition-id';
 import type { Ledger } from './ledger.js';
+import type { SubmissionRule } from './submission-rule.js';
 
-interface Accepted {
-  jobId: string;
-  /** False when the key was accepted before. */
-  isNew: boolean;
-}
+type Accepted =
+  /** `isNew`: false when the key was accepted before. */
+  | { kind: 'accepted'; jobId: string; isNew: boolean }
+  /** Another partition has the key. */
+  | { kind: 'delegated'; partition: PartitionId };
 
 type Answer = Result<Accepted, Failure>;
 
@@ -34,20 +37,19 @@
 
   private constructor(private readonly options: Options) {}
 
-  async accept(spec: JobSpec): Promise<Answer> {
-    if (spec.key === undefined) return this.append(spec);
+  /** Finds what was decided about the key of a job before; otherwise does what `rule` says. */
+  async accept(spec: JobSpec, rule: SubmissionRule): Promise<Answer> {
+    if (spec.key === undefined) return this.decide(spec, rule);
     const digest = digestSpec(spec);
     const pending = this.pending.get(spec.key);
     if (pending !== undefined)
       return pending.digest === digest ? repeat(await pending.answer) : keyConflict();
     const known = this.findKnown(spec.key);
-    if (known !== undefined) {
-      return known.digest === digest
-        ? Result.ok({ jobId: known.jobId, isNew: false })
-        : keyConflict();
-    }
+    if (known !== undefined)
+      return known.digest === digest ? Result.ok(known.accepted) : keyConflict();
     const { key } = spec;
-    const answer = this.append(spec).finally(() => this.pending.delete(key));
+    const decided = this.decide(spec, rule);
+    const answer = decided.finally(() => this.pending.delete(key));
     this.pending.set(key, { digest, answer });
     return answer;
   }
@@ -59,10 +61,42 @@
     return late;
   }
 
-  private findKnown(key: string): { jobId: string; digest: string } | undefined {
+  private findKnown(key: string): { accepted: Accepted; digest: string } | undefined {
     const state = this.options.ledger.state();
+    const delegated = state.delegatedJobKeys.get(key);
+    if (delegated !== undefined) {
+      const { partition, specDigest } = delegated;
+      return { accepted: { kind: 'delegated', partition }, digest: specDigest };
+    }
     const job = state.jobs.get(state.jobKeys.get(key) ?? '');
-    return job === undefined ? undefined : { jobId: job.jobId, digest: digestSpec(job.spec) };
+    if (job === undefined) return undefined;
+    const accepted = { kind: 'accepted', jobId: job.jobId, isNew: false } as const;
+    return { accepted, digest: digestSpec(job.spec) };
+  }
+
+  private decide(spec: JobSpec, rule: SubmissionRule): Promise<Answer> {
+    switch (rule.kind) {
+      case 'accept':
+        return this.append(spec);
+      case 'refuse':
+        return Promise.resolve(Result.err(Failure.create(ErrorKind.overloaded, rule.message)));
+      case 'delegate':
+        return this.delegate(spec, rule.partition);
+    }
+  }
+
+  /** Only keys are recorded: a job without one is a new job wherever it is submitted. */
+  private async delegate(spec: JobSpec, partition: PartitionId): Promise<Answer> {
+    const { ledger, clock } = this.options;
+    const { key } = spec;
+    if (key === undefined) return Result.ok({ kind: 'delegated', partition });
+    if (ledger.state().delegatedJobKeys.size >= JournalLimits.delegatedJobKeys)
+      return this.decide(spec, { kind: 'refuse', message: 'too many keys were delegated' });
+    const specDigest = digestSpec(spec);
+    const result = await ledger.commit([
+      { type: 'job-key-delegated', key, specDigest, partition, atMs: clock.wallMs() },
+    ]);
+    return result.map(() => ({ kind: 'delegated', partition }));
   }
 
   private async append(spec: JobSpec): Promise<Answer> {
@@ -74,12 +108,14 @@
       { type: 'job-accepted', jobId, spec, atMs: clock.wallMs() },
     ]);
     if (result.isErr && result.error.kind === ErrorKind.appendUnknown) this.unknown.add(jobId);
-    return result.map(() => ({ jobId, isNew: true }));
+    return result.map(() => ({ kind: 'accepted', jobId, isNew: true }));
   }
 }
 
 function repeat(answer: Answer): Answer {
-  return answer.map(({ jobId }) => ({ jobId, isNew: false }));
+  return answer.map((accepted) =>
+    accepted.kind === 'accepted' ? { ...accepted, isNew: false } : accepted,
+  );
 }
 
 function keyConflict(): Answer {
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -2,7 +2,7 @@
 import type { Shape } from './shape.js';
 import { shapes } from './shapes.js';
 
-const { string, number, boolean, bytes, any, nullable, list, oneOf, object } = shapes;
+const { string, number, boolean, bytes, any, nullable, optional, list, oneOf, object } = shapes;
 
 const partitionView = object({
   partition: string,
@@ -36,7 +36,12 @@
       deadlineMs: number,
     }),
   }),
-  'forward-submit': object({ partition: string, spec: any, deadlineMs: number }),
+  'forward-submit': object({
+    partition: string,
+    spec: any,
+    deadlineMs: number,
+    fallback: optional(string),
+  }),
   'forward-status': object({ jobId: string, waitMs: number, knownState: string }),
   'forward-cancel': object({ jobId: string }),
   'forward-account': object({ partition: string }),
--- a/packages/types/src/journal-entry.ts
+++ b/packages/types/src/journal-entry.ts
@@ -1,5 +1,6 @@
 import type { JobSpec } from './job-spec.js';
 import type { Outcome } from './outcome.js';
+import type { PartitionId } from './partition-id.js';
 import type { RecordedReply } from './recorded-reply.js';
 import type { TaskOutcome } from './task-outcome.js';
 
@@ -45,6 +46,15 @@
     }
   | { type: 'key-done'; key: string; outcome: Outcome; reply: RecordedReply | null; atMs: number }
   | { type: 'key-expired'; key: string; atMs: number }
+  /** The partition of the key has no worker: the key's job is accepted by another partition. */
+  | {
+      type: 'job-key-delegated';
+      key: string;
+      /** SHA-256 of the job spec. */
+      specDigest: string;
+      partition: PartitionId;
+      atMs: number;
+    }
   /** Counts of repeatable requests, sent by the entry process that served them. */
   | {
       type: 'requests-counted';
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -8,6 +8,7 @@
 import type { PartitionView } from './partition-view.js';
 import type { ServiceReply } from './service-reply.js';
 import type { ServiceRequest } from './service-request.js';
+import type { Submission } from './submission.js';
 import type { SlotGrant } from './slot-grant.js';
 import type { SlotRequest } from './slot-request.js';
 
@@ -24,8 +25,9 @@
     reply: ServiceReply;
   };
   'forward-submit': {
-    request: { partition: PartitionId; spec: JobSpec; deadlineMs: number };
-    reply: { jobId: string };
+    /** `fallback`: partition that takes a job with a new key while the first one has no worker. */
+    request: { partition: PartitionId; spec: JobSpec; deadlineMs: number; fallback?: PartitionId };
+    reply: Submission;
   };
   'forward-status': {
     request: { jobId: string; waitMs: number; knownState: string };
