Relay submissions that the store does not answer; keep several appends open

The relay through the owner was used only after 1 s of silence or a refusal. Cause 2: the appender had one append open at a time and gave an attempt up after 200 ms, so that with answers of 240 ms (platform_slow) each decision waited for two answers, and the first four attempts were thrown away. Resets were repeated without a pause. Ruled out: parallel producers (a claim would have to fence each of them). Change: storeRecord hedges through the owner after 300 ms; AppendFlight repeats beside the open attempt; up to four appends are open once the store is slow, the sequence numbers keep their order.

--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -127,3 +127,38 @@
   const outcome = await front.outcomeOf(job.id);
   expect(outcome.isOk && outcome.value).toEqual('completed');
 });
+
+// Guards against clients that wait until their deadline for a store that has gone silent for this
+// process only, while another process reaches it.
+test('stores a job through another process when the store does not answer this one', async () => {
+  const { front, clock } = create({
+    append: () => new Promise(() => undefined),
+    relayAppend: () => Promise.resolve('appended'),
+  });
+  const answer = front.submit(job, 2_850);
+  clock.advance(400);
+  expect((await answer).isOk).toEqual(true);
+});
+
+// Guards against "not run" for a job whose first append may still be carried out.
+test('does not refuse a job whose append was not answered when the relay refuses it', async () => {
+  let settle: (result: 'unknown') => void = () => undefined;
+  const { front, clock } = create({
+    append: () => new Promise((resolve) => (settle = resolve)),
+  });
+  const answer = front.submit(job, 2_850);
+  clock.advance(400);
+  settle('unknown');
+  const result = await answer;
+  expect(result.isErr && result.error.kind).toEqual(ErrorKind.appendUnknown);
+});
+
+// Guards against a relay whose outcome is open being forgotten when the direct append is refused.
+test('does not refuse a job that the relay may have stored', async () => {
+  const { front } = create({
+    append: () => Promise.resolve('refused'),
+    relayAppend: () => Promise.resolve('unknown'),
+  });
+  const result = await front.submit(job, 2_850);
+  expect(result.isErr && result.error.kind).toEqual(ErrorKind.appendUnknown);
+});
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -8,6 +8,7 @@
 import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
 import type { CellState } from '@acaciahoist/cell-state';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import { storeRecord } from './store-record.js';
 
 interface Options {
   clock: Clock;
@@ -100,10 +101,13 @@
     this.accepted.delete(id);
   }
 
-  /** Appends a record, through another process when the store turns this one away. */
-  private async store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
-    const direct = this.isStoreAway() ? 'refused' : await this.options.append(record);
-    return direct === 'refused' ? this.options.relayAppend(record) : direct;
+  private store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
+    return storeRecord({
+      clock: this.options.clock,
+      isStoreAway: this.isStoreAway(),
+      append: () => this.options.append(record),
+      relay: () => this.options.relayAppend(record),
+    });
   }
 
   private appendJob(job: CellJob): Promise<Result<Unit, Failure>> {
@@ -163,6 +167,7 @@
   ): Promise<Result<Unit, Failure>> {
     return new Promise((resolve) => {
       const cancel = this.options.clock.after(timeoutMs, () => {
+        this.options.log('warn', 'answer-timeout', { message, timeoutMs: Math.round(timeoutMs) });
         resolve(Result.err(Failure.create(ErrorKind.appendUnknown, message)));
       });
       void result.then((value) => {
--- /dev/null
+++ b/packages/cell-log/src/append-flight.ts
@@ -0,0 +1,156 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { AppendResult } from '@acaciahoist/cell-types/append-result';
+import { AppendOutcome } from './append-outcome.js';
+
+/** Number of an append within its producer. */
+interface Numbering {
+  epoch: number;
+  sequence: number;
+}
+
+interface Options {
+  clock: Clock;
+  records: readonly Uint8Array[];
+  numbering: Numbering;
+  /** True for records that must reach the log in the end; false to hand a refusal to the caller. */
+  insists: boolean;
+  /** One call to the store. */
+  send: (records: readonly Uint8Array[], numbering: Numbering) => Promise<AppendResult>;
+  /** Time in ms after which the n-th attempt, from 1, is followed by another one beside it. */
+  repeatMs: (attempt: number) => number;
+  isClosed: () => boolean;
+  onFirstFailure: (result: string, reason: string) => void;
+}
+
+/** How a flight ended: the outcome for its callers, and what it means for the producer. */
+interface Landing {
+  outcome: AppendOutcome;
+  /** `fenced`: a higher epoch has written. `out-of-sequence`: the store expects another number. */
+  cause?: 'fenced' | 'out-of-sequence';
+}
+
+/** Pause in ms before an append is repeated that the store refused; a busy store needs time. */
+const RETRY_MS = 60;
+/** Attempts of one append that wait for an answer at the same time. */
+const MAX_ATTEMPTS_OPEN = 3;
+
+/**
+ * One append until its result is known. An attempt that is not answered in time is followed by another
+ * one under the same number, and the first answer counts: an answer may be lost, or only be slow.
+ */
+export class AppendFlight {
+  static create(options: Options): AppendFlight {
+    return new AppendFlight(options);
+  }
+
+  readonly startedMs: number;
+  numbering: Numbering;
+  /** The append before this one, while its result is not known. */
+  earlier: Promise<unknown> | undefined;
+  /** Time in ms that the answer took; undefined until there is one. */
+  answerMs: number | undefined;
+  /** Offset after the records, once they are in the log. */
+  end = 0;
+  private isUnknown = false;
+  private hasFailed = false;
+  private attempts = 0;
+  private readonly open = new Set<
+    Promise<{ result: AppendResult; sentMs: number; as: Numbering }>
+  >();
+
+  private constructor(private readonly options: Options) {
+    this.startedMs = options.clock.monotonicMs();
+    this.numbering = options.numbering;
+  }
+
+  async land(): Promise<Landing> {
+    for (;;) {
+      if (this.open.size < MAX_ATTEMPTS_OPEN) this.attempt();
+      const answered = await this.nextAnswer();
+      if (answered === undefined) continue;
+      const landing = await this.take(answered.result, answered.sentMs, answered.as);
+      if (landing !== undefined) return landing;
+      if (this.options.isClosed()) return { outcome: this.undecided() };
+    }
+  }
+
+  private attempt(): void {
+    const { clock, records, send } = this.options;
+    const as = this.numbering;
+    const sentMs = clock.monotonicMs();
+    this.attempts += 1;
+    const answer = send(records, as).then((result) => {
+      this.open.delete(answer);
+      return { result, sentMs, as };
+    });
+    this.open.add(answer);
+  }
+
+  /** Undefined when it is time for another attempt. */
+  private async nextAnswer(): Promise<
+    { result: AppendResult; sentMs: number; as: Numbering } | undefined
+  > {
+    const { clock, repeatMs } = this.options;
+    let cancel: () => void = () => undefined;
+    const due = new Promise<undefined>((resolve) => {
+      cancel = clock.after(repeatMs(this.attempts), () => {
+        resolve(undefined);
+      });
+    });
+    const answered = await Promise.race([...this.open, due]);
+    cancel();
+    return answered;
+  }
+
+  /** The landing that a result means; undefined to go on. */
+  private async take(
+    result: AppendResult,
+    sentMs: number,
+    as: Numbering,
+  ): Promise<Landing | undefined> {
+    switch (result.kind) {
+      case 'appended':
+        this.answerMs = this.options.clock.monotonicMs() - sentMs;
+        this.end = result.offset + this.options.records.length;
+        return { outcome: AppendOutcome.appended };
+      case 'fenced':
+        // Attempts under a former number of this flight are refused after it was renumbered.
+        return as === this.numbering ? { outcome: this.undecided(), cause: 'fenced' } : undefined;
+      case 'out-of-sequence':
+      case 'moved':
+        if (as !== this.numbering) return undefined;
+        if (this.earlier === undefined)
+          return { outcome: AppendOutcome.unknown, cause: 'out-of-sequence' };
+        await this.earlier;
+        return undefined;
+      case 'unknown':
+        this.isUnknown = true;
+        this.noteFailure(result.kind, result.reason);
+        // A connection that is reset fails at once, again and again.
+        await this.pause(sentMs + RETRY_MS - this.options.clock.monotonicMs());
+        return undefined;
+      case 'refused':
+        this.noteFailure(result.kind, result.reason);
+        if (!this.options.insists && !this.isUnknown && this.open.size === 0) {
+          // Only the oldest append may leave its number unused: those after it get new ones.
+          if (this.earlier !== undefined) await this.earlier;
+          return { outcome: AppendOutcome.refused };
+        }
+        await this.pause(RETRY_MS);
+        return undefined;
+    }
+  }
+
+  private undecided(): AppendOutcome {
+    return this.isUnknown || this.open.size > 0 ? AppendOutcome.unknown : AppendOutcome.refused;
+  }
+
+  private async pause(ms: number): Promise<void> {
+    if (ms > 0) await new Promise<void>((resolve) => this.options.clock.after(ms, resolve));
+  }
+
+  private noteFailure(kind: string, reason: string): void {
+    if (!this.hasFailed) this.options.onFirstFailure(kind, reason);
+    this.hasFailed = true;
+  }
+}
--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -106,3 +106,88 @@
   expect(sent.join('')).toEqual('abc');
   expect(calls.length <= 2).toEqual(true);
 });
+
+/** A store on a manual clock whose answers take `answerMs`; it keeps the records that it appended. */
+function createSlow(answerMs: number, losesFirstAnswer = false) {
+  const clock = ManualClock.create();
+  const topic = new Map<number, string>();
+  const state = { calls: 0, expected: 1 };
+  const pause = (ms: number): Promise<void> => new Promise((resolve) => clock.after(ms, resolve));
+  const appender = Appender.create({
+    clock,
+    log: () => undefined,
+    topic: 't',
+    producer: 'p',
+    epoch: 3,
+    sequence: 1,
+    insists: true,
+    onFenced: () => undefined,
+    store: {
+      append: async ({ records, producer }): Promise<AppendResult> => {
+        state.calls += 1;
+        const isLost = losesFirstAnswer && state.calls === 1;
+        const sequence = producer?.sequence ?? 0;
+        const isNext = sequence === state.expected;
+        if (isNext) {
+          state.expected += 1;
+          topic.set(sequence, Buffer.concat([...records]).toString());
+        }
+        await pause(isLost ? 5_000 : answerMs);
+        if (isLost) return { kind: 'unknown', reason: 'lost' };
+        return topic.has(sequence)
+          ? { kind: 'appended', offset: sequence }
+          : { kind: 'out-of-sequence' };
+      },
+    },
+  });
+  const advance = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 10) {
+      clock.advance(10);
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  };
+  return { clock, topic, appender, state, advance };
+}
+
+// Load pattern: a store whose answers take 240 ms while work arrives all the time. Guards against
+// appends that wait for each other, so that every decision is late by two answers instead of one.
+test('does not wait for the answers of a slow store one by one', async () => {
+  const { clock, topic, appender, advance } = createSlow(240);
+  const ages: number[] = [];
+  for (let index = 0; index < 20; index += 1) {
+    const sentMs = clock.monotonicMs();
+    void appender.append([Buffer.from(`${index},`)]).then(() => {
+      ages.push(clock.monotonicMs() - sentMs);
+    });
+    await advance(30);
+  }
+  await advance(1_000);
+  const mean = ages.reduce((sum, age) => sum + age, 0) / ages.length;
+  expect(ages.length).toEqual(20);
+  expect(mean).toBeLessThan(300);
+  const expected = Array.from({ length: 20 }, (_, index) => `${index},`).join('');
+  expect([...topic.values()].join('')).toEqual(expected);
+});
+
+// Guards against a second of waiting for an answer that was lost, and against appending twice for it.
+test('repeats beside an attempt that is not answered', async () => {
+  const { topic, appender, state, advance } = createSlow(5, true);
+  let outcome = '';
+  void appender.append([record]).then((value) => (outcome = value));
+  await advance(300);
+  expect([outcome, topic.size, state.calls]).toEqual(['appended', 1, 2]);
+});
+
+// Guards against a hot loop of calls while connections to the store are reset at once.
+test('repeats at bounded intervals when every attempt fails at once', async () => {
+  const lost = Array.from({ length: 100 }, (): AppendResult => ({
+    kind: 'unknown',
+    reason: 'reset',
+  }));
+  const { appender, clock, calls } = create(lost, true);
+  void appender.append([record]);
+  await settle(clock);
+  expect(calls.length).toBeLessThan(12);
+});
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@acaciahoist/clock';
-import type { AppendResult } from '@acaciahoist/cell-types/append-result';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import { AppendFlight } from './append-flight.js';
 import { AppendOutcome } from './append-outcome.js';
 
 interface Options {
@@ -27,21 +27,29 @@
   settle: (outcome: AppendOutcome) => void;
 }
 
+interface Entry {
+  flight: AppendFlight;
+  batches: Batch[];
+  landed: Promise<void>;
+}
+
 /** Bytes of one append; the store takes 2 MiB, and smaller appends keep its partition responsive. */
 const MAX_BATCH_BYTES = 1_000_000;
-/** Pause in ms before an append is repeated; a store that answers "busy" needs time. */
-const RETRY_MS = 60;
-/** Bounds in ms of the time limit of an append. An answer takes 5 ms, 350 ms when the store is slow. */
-const MIN_TIMEOUT_MS = 200;
-const MAX_TIMEOUT_MS = 1_200;
-const TIMEOUT_FACTOR = 4;
-/** Attempts with the first limit: answers that are lost one by one must not add up to seconds. */
+/** The store answers a repeat of one of the last five appends, so that fewer may be open at a time. */
+const MAX_FLIGHTS = 4;
+/** Eight times the usual answer: a slow store gets the next append before it has answered the last one. */
+const OVERTAKE_MS = 40;
+/** Bounds in ms of the wait before an append is repeated. An answer takes 5 ms, 350 ms when it is slow. */
+const MIN_REPEAT_MS = 200;
+const MAX_REPEAT_MS = 1_200;
+const REPEAT_FACTOR = 4;
+/** Attempts with the first wait: answers that are lost one by one must not add up to seconds. */
 const PATIENT_ATTEMPTS = 4;
 
 /**
- * Appends records to one topic, one append at a time; records that arrive meanwhile go together into
- * the next one. An append of unknown result is repeated under its sequence number until it is known,
- * so that nothing is written twice and the order is kept.
+ * Appends records to one topic in the order in which they were handed in. Records that arrive while an
+ * append is open go together into the next one, which waits for the answer, or some time if the store
+ * is slow. The numbers of the producer keep the order, and make a repeated append harmless.
  */
 export class Appender {
   static create(options: Options): Appender {
@@ -49,8 +57,11 @@
   }
 
   private waiting: Batch[] = [];
-  private isRunning = false;
+  /** Appends that are not answered, oldest first. */
+  private open: Entry[] = [];
+  private isLingering = false;
   private isClosed = false;
+  private cancelOvertake: () => void = () => undefined;
   /** Time in ms that the newest answer took. */
   private answerMs = 0;
   private sequence: number;
@@ -61,7 +72,7 @@
     this.epoch = options.epoch;
   }
 
-  /** Number of callers whose records wait or are in flight. */
+  /** Number of callers whose records wait for an append. */
   get backlog(): number {
     return this.waiting.length;
   }
@@ -70,7 +81,7 @@
     if (this.isClosed) return Promise.resolve(AppendOutcome.refused);
     return new Promise((settle) => {
       this.waiting.push({ records, settle });
-      if (!this.isRunning) void this.run();
+      this.proceed();
     });
   }
 
@@ -79,22 +90,101 @@
     this.isClosed = true;
   }
 
-  private async run(): Promise<void> {
-    this.isRunning = true;
-    while (this.waiting.length > 0 && !this.isClosed) {
-      await this.linger();
-      const batches = this.takeBatches();
-      const outcome = await this.write(batches.flatMap((batch) => batch.records));
-      for (const batch of batches) batch.settle(outcome);
+  /** Starts the next append if it is its time. */
+  private proceed(): void {
+    if (this.isClosed) this.refuseWaiting();
+    if (this.waiting.length === 0 || this.isLingering || this.open.length >= MAX_FLIGHTS) return;
+    const { clock, lingerMs = 0 } = this.options;
+    const newest = this.open.at(-1);
+    if (newest !== undefined) {
+      const dueMs = newest.flight.startedMs + OVERTAKE_MS - clock.monotonicMs();
+      if (dueMs > 0) {
+        this.cancelOvertake();
+        this.cancelOvertake = clock.after(dueMs, () => {
+          this.proceed();
+        });
+        return;
+      }
+    }
+    if (lingerMs === 0) {
+      this.launch();
+      return;
+    }
+    this.isLingering = true;
+    clock.after(lingerMs, () => {
+      this.isLingering = false;
+      this.launch();
+    });
+  }
+
+  private launch(): void {
+    if (this.isClosed) {
+      this.refuseWaiting();
+      return;
+    }
+    const { clock, store, topic, producer, log, insists } = this.options;
+    const batches = this.takeBatches();
+    const flight = AppendFlight.create({
+      clock,
+      insists,
+      records: batches.flatMap((batch) => batch.records),
+      numbering: { epoch: this.epoch, sequence: this.sequence },
+      send: (records, { epoch, sequence }) =>
+        store.append({ topic, records, producer: { name: producer, epoch, sequence } }),
+      repeatMs: (attempt) => this.repeatMs(attempt),
+      isClosed: () => this.isClosed,
+      onFirstFailure: (result, reason) => {
+        log('warn', 'append-not-answered', { topic, result, reason });
+      },
+    });
+    this.sequence += 1;
+    flight.earlier = this.open.at(-1)?.landed;
+    const entry: Entry = { flight, batches, landed: Promise.resolve() };
+    this.open.push(entry);
+    entry.landed = this.land(entry);
+    this.proceed();
+  }
+
+  private async land(entry: Entry): Promise<void> {
+    const { flight, batches } = entry;
+    const { outcome, cause } = await flight.land();
+    const index = this.open.indexOf(entry);
+    this.open.splice(index, 1);
+    const next = this.open[index];
+    if (next !== undefined)
+      next.flight.earlier = index === 0 ? undefined : this.open[index - 1]?.landed;
+    if (flight.answerMs !== undefined) this.answerMs = flight.answerMs;
+    if (outcome === AppendOutcome.appended) this.options.onAppended?.(flight.end);
+    if (cause === 'fenced') {
+      this.isClosed = true;
+      this.options.onFenced();
+    } else if (cause === 'out-of-sequence') {
+      const { topic, log } = this.options;
+      log('error', 'append-out-of-sequence', { topic, ...flight.numbering });
+      this.renumber();
+    } else if (outcome === AppendOutcome.refused && !this.isClosed) this.giveBack(flight);
+    for (const batch of batches) batch.settle(outcome);
+    this.proceed();
+  }
+
+  /** A refused append leaves its number unused, and those after it cannot be appended under theirs. */
+  private giveBack(flight: AppendFlight): void {
+    if (this.open.length === 0) this.sequence = flight.numbering.sequence;
+    else this.renumber();
+  }
+
+  /** Goes on in a new epoch: attempts under the former numbers that are carried out late are refused. */
+  private renumber(): void {
+    this.epoch += 1;
+    this.sequence = 0;
+    for (const { flight } of this.open) {
+      flight.numbering = { epoch: this.epoch, sequence: this.sequence };
+      this.sequence += 1;
     }
-    for (const batch of this.waiting) batch.settle(AppendOutcome.refused);
-    this.waiting = [];
-    this.isRunning = false;
   }
 
-  private async linger(): Promise<void> {
-    const { lingerMs = 0, clock } = this.options;
-    if (lingerMs > 0) await new Promise<void>((resolve) => clock.after(lingerMs, resolve));
+  private refuseWaiting(): void {
+    for (const batch of this.waiting.splice(0)) batch.settle(AppendOutcome.refused);
   }
 
   private takeBatches(): Batch[] {
@@ -108,52 +198,9 @@
     return this.waiting.splice(0, count);
   }
 
-  private async write(records: Uint8Array[]): Promise<AppendOutcome> {
-    const { store, topic, clock, log, insists } = this.options;
-    let isUnknown = false;
-    for (let attempt = 1; ; attempt += 1) {
-      const sentMs = clock.monotonicMs();
-      const result: AppendResult = await store.append({
-        topic,
-        timeoutMs: this.timeoutFor(attempt),
-        records,
-        producer: { name: this.options.producer, epoch: this.epoch, sequence: this.sequence },
-      });
-      if (result.kind === 'appended') {
-        this.sequence += 1;
-        this.answerMs = clock.monotonicMs() - sentMs;
-        this.options.onAppended?.(result.offset + records.length);
-        return AppendOutcome.appended;
-      }
-      if (result.kind === 'fenced') {
-        this.isClosed = true;
-        this.options.onFenced();
-        return isUnknown ? AppendOutcome.unknown : AppendOutcome.refused;
-      }
-      if (result.kind === 'out-of-sequence' || result.kind === 'moved') {
-        log('error', 'append-out-of-sequence', {
-          topic,
-          epoch: this.epoch,
-          sequence: this.sequence,
-        });
-        this.epoch += 1;
-        this.sequence = 0;
-        return AppendOutcome.unknown;
-      }
-      if (result.kind === 'unknown') isUnknown = true;
-      if (attempt === 1)
-        log('warn', 'append-not-answered', { topic, result: result.kind, reason: result.reason });
-      if (this.isClosed) return isUnknown ? AppendOutcome.unknown : AppendOutcome.refused;
-      if (!insists && !isUnknown) return AppendOutcome.refused;
-      // An answer that was lost comes again at once; a store that is busy needs a pause.
-      const pauseMs = result.kind === 'unknown' ? 0 : RETRY_MS;
-      if (pauseMs > 0) await new Promise<void>((resolve) => clock.after(pauseMs, resolve));
-    }
-  }
-
   /** A multiple of the last answer's time, doubled when several attempts were not answered. */
-  private timeoutFor(attempt: number): number {
-    const firstMs = Math.max(MIN_TIMEOUT_MS, this.answerMs * TIMEOUT_FACTOR);
-    return Math.min(MAX_TIMEOUT_MS, firstMs * 2 ** Math.max(0, attempt - PATIENT_ATTEMPTS));
+  private repeatMs(attempt: number): number {
+    const firstMs = Math.max(MIN_REPEAT_MS, this.answerMs * REPEAT_FACTOR);
+    return Math.min(MAX_REPEAT_MS, firstMs * 2 ** Math.max(0, attempt - PATIENT_ATTEMPTS));
   }
 }
