Let larger machines own the cell

Ruled out: a fixed delay for small machines, which would slow down every take-over in a cell of equal machines. Change: offers of help carry the processor time; a process that knows of a much larger one waits 400 ms more before it claims, and an owner hands the cell over after 1.5 s, at most every 20 s.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -40,6 +40,29 @@
   expect(cell.history.filter((event) => event.kind === 'started').length).toEqual(6);
 });
 
+// Load pattern: unlike machines. Guards against a cell that is owned by a machine too small for it,
+// at the start and after a take-over while the larger ones were away.
+test('is owned by a large machine as soon as one is there', async () => {
+  const cores = { p0: 0.3, p1: 0.3, p2: 1.3 };
+  const cell = EmulatedCell.create({ seed: 21, processes: 3, workers: 4, cores });
+  await cell.start();
+  await cell.run(8_000);
+  expect(cell.ownerName()).toEqual('p2');
+  cell.kill('p2');
+  await cell.run(3_000);
+  const small = cell.ownerName();
+  expect(small === 'p0' || small === 'p1').toEqual(true);
+  const submitted = cell.submit(makeJob(1, [{ count: 4, estimateMs: 6_000 }]), small ?? '');
+  await cell.run(500);
+  expect(await submitted).toEqual('accepted');
+  await cell.boot('p2');
+  await cell.run(10_000);
+  expect(cell.ownerName()).toEqual('p2');
+  expect(cell.violations()).toEqual([]);
+  expect(cell.unfinished()).toEqual([]);
+  expect(cell.history.filter((event) => event.kind === 'started').length).toEqual(4);
+});
+
 // Guards against a slow take-over: the target is a lease (3 s) and 1 s from the death to the next start.
 test('starts work again soon after the death of the owner', async () => {
   const cell = await startCell(8);
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -29,6 +29,8 @@
   seed: number;
   processes: number;
   workers: number;
+  /** Cores of processes by name; 1 for those that are not named. */
+  cores?: Readonly<Record<string, number>>;
 }
 
 /** A whole cell on a manual clock: processes, store, workers and advice, with faults from a test. */
@@ -136,6 +138,7 @@
       retentionMs: 120_000,
       ownerSilenceMs: 1_000,
       claimJitterMs: this.random.integer(0, 300 - 1),
+      cores: this.options.cores?.[name] ?? 1,
       decodeConfiguration: (data) =>
         JSON.parse(Buffer.from(data).toString()) as ReturnType<
           Parameters<typeof CellProcess.create>[0]['decodeConfiguration']
--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -18,8 +18,8 @@
   address: string;
   /** Silence of the owner in ms, with the log in reach, after which another process claims. */
   silenceMs: number;
-  /** Random additional silence in ms, so that processes do not claim together. */
-  jitterMs: number;
+  /** Additional silence in ms, so that processes do not claim together and the best placed ones first. */
+  delayMs: () => number;
   onOwned: (token: number) => void;
   onLost: (reason: string) => void;
 }
@@ -120,7 +120,7 @@
   }
 
   private tick(): void {
-    const { clock, replica, silenceMs, jitterMs } = this.options;
+    const { clock, replica, silenceMs, delayMs } = this.options;
     const nowMs = clock.monotonicMs();
     const elapsedMs = nowMs - this.lastTickMs;
     this.lastTickMs = nowMs;
@@ -135,7 +135,7 @@
     const suspectedMs =
       this.suspected?.owner === claim?.owner ? this.suspected?.silenceMs : undefined;
     const limitMs = claim === undefined || claim.released ? 0 : (suspectedMs ?? silenceMs);
-    if (this.silentMs >= limitMs + jitterMs) void this.claim();
+    if (this.silentMs >= limitMs + delayMs()) void this.claim();
   }
 
   /**
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -22,6 +22,7 @@
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { isAdvice } from './is-advice.js';
 import { OwnerLog } from './owner-log.js';
+import { MachineRanking } from './machine-ranking.js';
 import type { PeerCalls } from './peer-calls.js';
 import { Relay } from './relay.js';
 
@@ -45,6 +46,8 @@
   ownerSilenceMs: number;
   /** Random share of a second by which this process delays its claims, in ms. */
   claimJitterMs: number;
+  /** Processor time of the machine, in cores. */
+  cores: number;
   decodeConfiguration: (data: Uint8Array) => CellConfiguration | undefined;
   decodeWorkerEntry: (id: string, data: Uint8Array) => WorkerEntry | undefined;
   connect: (entry: WorkerEntry) => WorkerClient;
@@ -62,6 +65,12 @@
 /** Interval of calls to the owner in ms; also finds an owner whose process is gone. */
 const OFFER_HELP_MS = 300;
 const OFFER_TIMEOUT_MS = 700;
+/** Additional wait in ms of a small machine before it claims: a larger one claims within the jitter. */
+const OUTRANKED_DELAY_MS = 400;
+/** A new owner has heard of all other machines after this time in ms. */
+const MIN_OWNED_MS = 1_500;
+/** Least time in ms between two hand-overs by one process: the larger machine may be at fault. */
+const YIELD_INTERVAL_MS = 20_000;
 /** An owner that the store has not answered for this long in ms is turned away or cut off. */
 const OWNER_STORE_SILENT_MS = 700;
 /** A process that the store has not answered for this long in ms relays nothing. */
@@ -90,10 +99,14 @@
   private isStopping = false;
   /** Name of this life of the process. */
   private readonly self: string;
+  private readonly ranking: MachineRanking;
+  private ownedSinceMs = 0;
+  private mayYieldFromMs = 0;
 
   private constructor(private readonly options: Options) {
     const { clock, log, store, topics, name, incarnation } = options;
     this.self = `${name}/${incarnation}`;
+    this.ranking = MachineRanking.create(clock, options.cores);
     const { self } = this;
     this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
     this.replica = CellReplica.create({
@@ -121,7 +134,7 @@
       self,
       address: options.peerAddress,
       silenceMs: options.ownerSilenceMs,
-      jitterMs: options.claimJitterMs,
+      delayMs: () => options.claimJitterMs + (this.ranking.isOutranked() ? OUTRANKED_DELAY_MS : 0),
       onOwned: (token) => {
         this.becomeOwner(token);
       },
@@ -224,15 +237,31 @@
   async handOver(): Promise<void> {
     this.isStopping = true;
     this.ownership.stop();
-    this.owner?.stop();
-    if (this.ownerLog !== undefined) {
-      const released = this.ownerLog.append([{ kind: 'release' }]);
-      const timeout = new Promise<void>((resolve) => this.options.clock.after(RELEASE_MS, resolve));
-      await Promise.race([released, timeout]);
-    }
+    await this.release();
     this.ceaseOwner('stopping');
   }
 
+  /** Hands the cell over when a much larger machine can own it. */
+  private async yieldToLarger(): Promise<void> {
+    const { clock, log, cores } = this.options;
+    const ownedMs = clock.monotonicMs() - this.ownedSinceMs;
+    if (this.owner === undefined || ownedMs < MIN_OWNED_MS || !this.ranking.isOutranked()) return;
+    if (clock.monotonicMs() < this.mayYieldFromMs) return;
+    this.mayYieldFromMs = clock.monotonicMs() + YIELD_INTERVAL_MS;
+    log('info', 'owner-yields', { cores, largestCores: this.ranking.largest() });
+    await this.release();
+    this.ownership.fenced('a larger machine');
+  }
+
+  /** Stops the owner's work and records that another process may claim. */
+  private async release(): Promise<void> {
+    this.owner?.stop();
+    if (this.ownerLog === undefined) return;
+    const released = this.ownerLog.append([{ kind: 'release' }]);
+    const timeout = new Promise<void>((resolve) => this.options.clock.after(RELEASE_MS, resolve));
+    await Promise.race([released, timeout]);
+  }
+
   stop(): void {
     this.replica.stop();
     this.configurationFollower.stop();
@@ -284,6 +313,7 @@
   private becomeOwner(token: number): void {
     const { clock, log, count, store, topics } = this.options;
     this.ceaseOwner('claimed anew');
+    this.ownedSinceMs = clock.monotonicMs();
     log('info', 'owner-started', { token, jobs: this.replica.state.jobs.size });
     const ownerLog = OwnerLog.create({
       clock,
@@ -365,6 +395,7 @@
     this.options.clock.after(OFFER_HELP_MS, () => {
       if (this.isStopping) return;
       void this.callOwner();
+      void this.yieldToLarger();
       this.offerHelp();
     });
   }
@@ -378,9 +409,12 @@
         this.ownership.suspect(claim.owner, 'replaced');
       return;
     }
-    const offer = { address: peerAddress };
+    // A process that could not own the cell now must not attract it.
+    const cores = this.isReady() ? this.options.cores : 0;
+    const offer = { address: peerAddress, cores };
     const reply = await peers.call(claim.address, 'offer-help', offer, OFFER_TIMEOUT_MS);
     if (reply.isErr) return;
+    this.ranking.largestReported(reply.value.largestCores);
     if (reply.value.life !== claim.owner) this.ownership.suspect(claim.owner, 'replaced');
     else if (reply.value.storeSilentMs > OWNER_STORE_SILENT_MS)
       this.ownership.suspect(claim.owner, 'turned-away');
@@ -392,11 +426,16 @@
 
   private async answerPeer(type: string, body: unknown): Promise<Result<unknown, Failure>> {
     if (type === 'offer-help') {
-      const { address } = body as { address: string };
+      const { address, cores } = body as { address: string; cores: number };
+      this.ranking.heardOf(address, cores);
       this.owner?.helperSeen(address, (step, workers, timeoutMs) =>
         this.askHelper(address, step, workers, timeoutMs),
       );
-      return ResultModule.ok({ life: this.self, storeSilentMs: this.storeSilentMs() });
+      return ResultModule.ok({
+        life: this.self,
+        storeSilentMs: this.storeSilentMs(),
+        largestCores: this.ranking.largest(),
+      });
     }
     if (type === 'relay-record') {
       const { data } = body as { data: Uint8Array };
--- /dev/null
+++ b/packages/cell-process/src/machine-ranking.test.ts
@@ -0,0 +1,19 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { MachineRanking } from './machine-ranking.js';
+
+// Guards against an owner on a machine that is too small for it, and against machines of one kind that
+// leave the cell to each other.
+test('is outranked by a much larger machine only, and only while it is heard of', () => {
+  const clock = ManualClock.create();
+  const ranking = MachineRanking.create(clock, 0.3);
+  ranking.heardOf('a', 0.33);
+  expect(ranking.isOutranked()).toEqual(false);
+  ranking.heardOf('b', 1.35);
+  expect(ranking.isOutranked()).toEqual(true);
+  clock.advance(4_000);
+  expect(ranking.isOutranked()).toEqual(false);
+  ranking.largestReported(1.35);
+  expect([ranking.isOutranked(), ranking.largest()]).toEqual([true, 1.35]);
+});
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -51,9 +51,12 @@
   };
   /** Sent to the owner of the cell: the sender calls the advice service on request. */
   'offer-help': {
-    request: { address: string };
-    /** `life`: name and incarnation of the process that replies; time since the store answered it. */
-    reply: { life: string; storeSilentMs: number };
+    request: { address: string; cores: number };
+    /**
+     * `life`: name and incarnation of the process that replies; time since the store answered it; cores
+     * of the largest machine that it knows.
+     */
+    reply: { life: string; storeSilentMs: number; largestCores: number };
   };
   /** Sent by a process that the store turns away: the receiver appends the record in its place. */
   'relay-record': { request: { data: Uint8Array }; reply: { outcome: string } };
