--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -18,8 +18,10 @@
   address: string;
   /** Silence of the owner in ms, with the log in reach, after which another process claims. */
   silenceMs: number;
-  /** Additional silence in ms, so that processes do not claim together and the best placed ones first. */
-  delayMs: () => number;
+  /** Random additional silence in ms, so that processes do not claim together. */
+  jitterMs: number;
+  /** Time in ms for which this process leaves a claim that is due to others. */
+  deferMs: () => number;
   onOwned: (token: number) => void;
   onLost: (reason: string) => void;
 }
@@ -47,6 +49,8 @@
   private readonly machine: Actor<typeof ownershipMachine>;
   private silentMs = 0;
   private lastTickMs: number;
+  /** Monotonic time since which a claim is due; undefined while it is not. */
+  private dueSinceMs: number | undefined;
   private ownToken = 0;
   private suspected: { owner: string; silenceMs: number } | undefined;
   private cancelTick: () => void = () => undefined;
@@ -120,7 +124,7 @@
   }
 
   private tick(): void {
-    const { clock, replica, silenceMs, delayMs } = this.options;
+    const { clock, replica, silenceMs, jitterMs, deferMs } = this.options;
     const nowMs = clock.monotonicMs();
     const elapsedMs = nowMs - this.lastTickMs;
     this.lastTickMs = nowMs;
@@ -135,7 +139,12 @@
     const suspectedMs =
       this.suspected?.owner === claim?.owner ? this.suspected?.silenceMs : undefined;
     const limitMs = claim === undefined || claim.released ? 0 : (suspectedMs ?? silenceMs);
-    if (this.silentMs >= limitMs + delayMs()) void this.claim();
+    if (this.silentMs < limitMs + jitterMs) {
+      this.dueSinceMs = undefined;
+      return;
+    }
+    this.dueSinceMs ??= nowMs;
+    if (nowMs - this.dueSinceMs >= deferMs()) void this.claim();
   }
 
   /**
@@ -154,6 +163,7 @@
       replicaAgeMs: Math.round(replica.ageMs()),
     });
     this.silentMs = 0;
+    this.dueSinceMs = undefined;
     const wallMs = clock.wallMs();
     const record = recordCodec.encode({ kind: 'claim', owner: self, address, token, wallMs });
     const producer = { name: OWNER_PRODUCER, epoch: token, sequence: 0 };
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -70,7 +70,7 @@
 /** A new owner has heard of all other machines after this time in ms. */
 const MIN_OWNED_MS = 1_500;
 /** Least time in ms between two hand-overs by one process: the larger machine may be at fault. */
-const YIELD_INTERVAL_MS = 20_000;
+const YIELD_INTERVAL_MS = 8_000;
 /** An owner that the store has not answered for this long in ms is turned away or cut off. */
 const OWNER_STORE_SILENT_MS = 700;
 /** A process that the store has not answered for this long in ms relays nothing. */
@@ -134,7 +134,8 @@
       self,
       address: options.peerAddress,
       silenceMs: options.ownerSilenceMs,
-      delayMs: () => options.claimJitterMs + (this.ranking.isOutranked() ? OUTRANKED_DELAY_MS : 0),
+      jitterMs: options.claimJitterMs,
+      deferMs: () => (this.ranking.isOutranked() ? OUTRANKED_DELAY_MS : 0),
       onOwned: (token) => {
         this.becomeOwner(token);
       },
