Follow the log and append through the owner

Cause: each process read the log every 80 ms (100 calls a second with 9 processes, 430 with 35) and appended each job by itself. Ruled out: fewer open appends alone (the fronts still outnumber the partition). Change: OwnerFeed reads through the owner while it shows signs of life, the store otherwise; records of clients go to the owner first and directly after two times the usual time; silence of the store counts only owed answers (StoreSilence). Found on the way, with a test each: appends ran ahead of one whose answer was lost, beyond the five that the store remembers; an owner with an unknown number raised its epoch over its token, and nobody could claim any more. The owner still waits for a read after each of its appends.

--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import { StoreSilence } from '@acaciahoist/cell-log/store-silence';
 import type { AppendRequest } from '@acaciahoist/cell-types/append-request';
 import type { AppendResult } from '@acaciahoist/cell-types/append-result';
 import type { KeyedRecord } from '@acaciahoist/cell-types/keyed-record';
@@ -43,27 +44,31 @@
   }
 
   client(caller: string): LogStore {
-    let answeredMs = Number.NEGATIVE_INFINITY;
-    const note = <Answer>(answer: Answer, isAnswered: boolean): Answer => {
-      if (isAnswered) answeredMs = this.clock.monotonicMs();
+    const silence = StoreSilence.create(this.clock);
+    const note = async <Answer>(
+      waitMs: number,
+      call: Promise<Answer>,
+      isAnswer: (answer: Answer) => boolean,
+    ): Promise<Answer> => {
+      silence.called(waitMs);
+      const answer = await call;
+      if (isAnswer(answer)) silence.answered();
+      else silence.failed();
       return answer;
     };
     return {
-      append: async (request) => {
-        const result = await this.append(caller, request);
-        return note(result, result.kind !== 'unknown' && result.kind !== 'refused');
-      },
-      read: async (topic, from, waitMs) => {
-        const result = await this.read(caller, topic, from, waitMs);
-        return note(result, result.kind !== 'failed');
-      },
-      newest: async (topic) => {
-        const result = await this.newest(caller, topic);
-        return note(result, result !== undefined);
-      },
+      append: (request) =>
+        note(
+          0,
+          this.append(caller, request),
+          ({ kind }) => kind !== 'unknown' && kind !== 'refused',
+        ),
+      read: (topic, from, waitMs) =>
+        note(waitMs, this.read(caller, topic, from, waitMs), ({ kind }) => kind !== 'failed'),
+      newest: (topic) => note(0, this.newest(caller, topic), (page) => page !== undefined),
       encodeKeyed,
       decodeKeyed,
-      lastAnswerMs: () => answeredMs,
+      silentMs: () => silence.ms(),
     };
   }
 
--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -43,6 +43,13 @@
   return { front, clock, state };
 }
 
+/** Lets the calls go out that follow a refusal. */
+async function settleCalls(): Promise<void> {
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
 // Guards against refusals in the first second after a restart: accepting needs the store only.
 test('accepts a job before the replica is loaded, and shows it', async () => {
   const { front } = create({ synced: false });
@@ -147,6 +154,7 @@
     append: () => new Promise((resolve) => (settle = resolve)),
   });
   const answer = front.submit(job, 2_850);
+  await settleCalls();
   clock.advance(400);
   settle('unknown');
   const result = await answer;
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -31,6 +31,10 @@
 const STORE_AWAY_MS = 1_000;
 /** A replica older than this in ms may show a job as running that has ended: the owner is asked. */
 const REPLICA_BEHIND_MS = 900;
+/** Bounds in ms of the wait before a second way is tried. A record takes 20 ms, 500 ms when the store is slow. */
+const MIN_HEDGE_MS = 250;
+const MAX_HEDGE_MS = 900;
+const HEDGE_FACTOR = 2;
 /** Longest time in ms that an answer waits for the replica to catch up. */
 const SYNC_MS = 1_000;
 
@@ -45,6 +49,9 @@
   /** Jobs that were accepted here and that the replica has not read yet. */
   private readonly accepted = new Set<string>();
 
+  /** Time in ms that the newest record took to be stored. */
+  private storedMs = 0;
+
   private constructor(private readonly options: Options) {}
 
   /**
@@ -101,13 +108,22 @@
     this.accepted.delete(id);
   }
 
-  private store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
-    return storeRecord({
-      clock: this.options.clock,
-      isStoreAway: this.isStoreAway(),
-      append: () => this.options.append(record),
-      relay: () => this.options.relayAppend(record),
+  /**
+   * The relay goes first where there is one: the owner appends records of many processes at a time,
+   * and a store that is slow or busy takes few appends.
+   */
+  private async store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
+    const { clock, append, relayAppend } = this.options;
+    const sentMs = clock.monotonicMs();
+    const direct = (): ReturnType<typeof append> => append(record);
+    const relay = (): ReturnType<typeof append> => relayAppend(record);
+    const outcome = await storeRecord({
+      clock,
+      ways: this.isStoreAway() ? [relay] : [relay, direct],
+      hedgeMs: Math.min(MAX_HEDGE_MS, Math.max(MIN_HEDGE_MS, HEDGE_FACTOR * this.storedMs)),
     });
+    if (outcome === 'appended') this.storedMs = clock.monotonicMs() - sentMs;
+    return outcome;
   }
 
   private appendJob(job: CellJob): Promise<Result<Unit, Failure>> {
--- a/packages/cell-front/src/store-record.ts
+++ b/packages/cell-front/src/store-record.ts
@@ -4,35 +4,36 @@
 
 interface Options {
   clock: Clock;
-  /** True when the store is known not to answer this process. */
-  isStoreAway: boolean;
-  append: () => Promise<Outcome>;
-  /** Appends through another process. */
-  relay: () => Promise<Outcome>;
+  /** The ways to append the record, the preferred one first. */
+  ways: readonly (() => Promise<Outcome>)[];
+  /** Time in ms after which a way that has not answered is joined by the next one. */
+  hedgeMs: number;
 }
 
-/** An append takes 5 ms, and some 250 ms when the store is slow; after that the relay is asked as well. */
-const HEDGE_MS = 300;
-
 /**
- * Appends a record directly or through another process. Load pattern: the store goes silent for some
- * processes and serves the others; their clients must not wait for an answer that never comes. Only for
- * records that have no effect when they are in the log twice. `refused` only when no way may have
- * stored it.
+ * Appends a record in one of several ways. Load pattern: the store, or the process that appends for
+ * others, goes silent for some and serves the rest; clients must not wait for an answer that never
+ * comes. Only for records that have no effect when they are in the log twice. `refused` only when no
+ * way may have appended it.
  */
 export async function storeRecord(options: Options): Promise<Outcome> {
-  const { clock, isStoreAway, append, relay } = options;
-  if (isStoreAway) return relay();
-  const direct = append();
-  const late = new Promise<undefined>((resolve) =>
-    clock.after(HEDGE_MS, () => {
+  const { clock, ways, hedgeMs } = options;
+  const [first, ...others] = ways;
+  if (first === undefined) return 'refused';
+  const answer = first();
+  if (others.length === 0) return answer;
+  let cancel: () => void = () => undefined;
+  const late = new Promise<undefined>((resolve) => {
+    cancel = clock.after(hedgeMs, () => {
       resolve(undefined);
-    }),
-  );
-  const first = await Promise.race([direct, late]);
-  if (first === 'appended') return first;
-  if (first !== undefined) return combine(first, await relay());
-  return firstAppended([direct, relay()]);
+    });
+  });
+  const early = await Promise.race([answer, late]);
+  cancel();
+  if (early === 'appended') return early;
+  const other = storeRecord({ clock, ways: others, hedgeMs });
+  if (early !== undefined) return combine(early, await other);
+  return firstAppended([answer, other]);
 }
 
 /** Resolves as soon as one way has appended the record, otherwise when all have ended. */
--- a/packages/cell-log/src/append-flight.ts
+++ b/packages/cell-log/src/append-flight.ts
@@ -32,7 +32,7 @@
 /** Pause in ms before an append is repeated that the store refused; a busy store needs time. */
 const RETRY_MS = 60;
 /** Attempts of one append that wait for an answer at the same time. */
-const MAX_ATTEMPTS_OPEN = 3;
+const MAX_ATTEMPTS_OPEN = 5;
 
 /**
  * One append until its result is known. An attempt that is not answered in time is followed by another
@@ -51,8 +51,9 @@
   answerMs: number | undefined;
   /** Offset after the records, once they are in the log. */
   end = 0;
+  /** True once an attempt was refused or not answered. */
+  hasFailed = false;
   private isUnknown = false;
-  private hasFailed = false;
   private attempts = 0;
   private readonly open = new Set<
     Promise<{ result: AppendResult; sentMs: number; as: Numbering }>
--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -107,8 +107,11 @@
   expect(calls.length <= 2).toEqual(true);
 });
 
+/** The store answers a repeat of this many last appends. */
+const REMEMBERED = 5;
+
 /** A store on a manual clock whose answers take `answerMs`; it keeps the records that it appended. */
-function createSlow(answerMs: number, losesFirstAnswer = false) {
+function createSlow(answerMs: number, losesFirstAnswer = false, lostMs = 5_000) {
   const clock = ManualClock.create();
   const topic = new Map<number, string>();
   const state = { calls: 0, expected: 1 };
@@ -128,11 +131,12 @@
         const isLost = losesFirstAnswer && state.calls === 1;
         const sequence = producer?.sequence ?? 0;
         const isNext = sequence === state.expected;
+        if (sequence < state.expected - REMEMBERED) return { kind: 'out-of-sequence' };
         if (isNext) {
           state.expected += 1;
           topic.set(sequence, Buffer.concat([...records]).toString());
         }
-        await pause(isLost ? 5_000 : answerMs);
+        await pause(isLost ? lostMs : answerMs);
         if (isLost) return { kind: 'unknown', reason: 'lost' };
         return topic.has(sequence)
           ? { kind: 'appended', offset: sequence }
@@ -191,3 +195,26 @@
   await settle(clock);
   expect(calls.length).toBeLessThan(12);
 });
+
+// Guards against an append that the store does not remember any more when it is repeated: the answer
+// of the oldest one is lost while later ones go on.
+test('does not run ahead of an append whose answer is lost', async () => {
+  const { appender, topic, advance } = createSlow(5, true);
+  const outcomes: string[] = [];
+  for (let index = 0; index < 30; index += 1) {
+    void appender.append([record]).then((outcome) => outcomes.push(outcome));
+    await advance(20);
+  }
+  await advance(2_000);
+  expect(outcomes.length).toEqual(30);
+  expect(outcomes.every((outcome) => outcome === 'appended')).toEqual(true);
+  expect([...topic.values()].join('').length).toEqual(30);
+});
+
+// Guards against an owner that raises its epoch beyond its token: no successor could claim.
+test('an owner whose numbers the store does not know gives up and keeps its epoch', async () => {
+  const { appender, calls, fenced } = create([{ kind: 'out-of-sequence' }], true);
+  expect(await appender.append([record])).toEqual('unknown');
+  expect(await appender.append([record])).toEqual('refused');
+  expect([fenced(), calls.length]).toEqual([1, 1]);
+});
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -37,13 +37,17 @@
 const MAX_BATCH_BYTES = 1_000_000;
 /** The store answers a repeat of one of the last five appends, so that fewer may be open at a time. */
 const MAX_FLIGHTS = 4;
-/** Eight times the usual answer: a slow store gets the next append before it has answered the last one. */
-const OVERTAKE_MS = 40;
+/**
+ * A slow store gets the next append before it has answered the last one: after eight times the usual
+ * answer, and a third of the newest one, since a partition carries its appends out one at a time.
+ */
+const MIN_OVERTAKE_MS = 40;
+const OVERTAKE_SHARE = 0.33;
 /** Bounds in ms of the wait before an append is repeated. An answer takes 5 ms, 350 ms when it is slow. */
 const MIN_REPEAT_MS = 200;
 const MAX_REPEAT_MS = 1_200;
 const REPEAT_FACTOR = 4;
-/** Attempts with the first wait: answers that are lost one by one must not add up to seconds. */
+/** Attempts that follow each other after the first wait: answers may be lost one by one. */
 const PATIENT_ATTEMPTS = 4;
 
 /**
@@ -77,6 +81,11 @@
     return this.waiting.length;
   }
 
+  /** True while an append is open that the store has refused or not answered. */
+  get isFailing(): boolean {
+    return this.open.some(({ flight }) => flight.hasFailed);
+  }
+
   append(records: Uint8Array[]): Promise<AppendOutcome> {
     if (this.isClosed) return Promise.resolve(AppendOutcome.refused);
     return new Promise((settle) => {
@@ -93,11 +102,12 @@
   /** Starts the next append if it is its time. */
   private proceed(): void {
     if (this.isClosed) this.refuseWaiting();
-    if (this.waiting.length === 0 || this.isLingering || this.open.length >= MAX_FLIGHTS) return;
+    if (this.waiting.length === 0 || this.isLingering || this.isWindowFull()) return;
     const { clock, lingerMs = 0 } = this.options;
     const newest = this.open.at(-1);
     if (newest !== undefined) {
-      const dueMs = newest.flight.startedMs + OVERTAKE_MS - clock.monotonicMs();
+      const overtakeMs = Math.max(MIN_OVERTAKE_MS, this.answerMs * OVERTAKE_SHARE);
+      const dueMs = newest.flight.startedMs + overtakeMs - clock.monotonicMs();
       if (dueMs > 0) {
         this.cancelOvertake();
         this.cancelOvertake = clock.after(dueMs, () => {
@@ -117,6 +127,12 @@
     });
   }
 
+  /** Counts from the oldest open append: those after it may have landed, but it may have to be repeated. */
+  private isWindowFull(): boolean {
+    const oldest = this.open[0]?.flight.numbering.sequence ?? this.sequence;
+    return this.sequence - oldest >= MAX_FLIGHTS;
+  }
+
   private launch(): void {
     if (this.isClosed) {
       this.refuseWaiting();
@@ -161,12 +177,25 @@
     } else if (cause === 'out-of-sequence') {
       const { topic, log } = this.options;
       log('error', 'append-out-of-sequence', { topic, ...flight.numbering });
-      this.renumber();
+      this.leaveSequence();
     } else if (outcome === AppendOutcome.refused && !this.isClosed) this.giveBack(flight);
     for (const batch of batches) batch.settle(outcome);
     this.proceed();
   }
 
+  /**
+   * The store has not the numbers that this producer counts on. An owner's epoch is its token, which it
+   * must not raise: nobody could claim the next one. It gives the cell up instead.
+   */
+  private leaveSequence(): void {
+    if (!this.options.insists) {
+      this.renumber();
+      return;
+    }
+    this.isClosed = true;
+    this.options.onFenced();
+  }
+
   /** A refused append leaves its number unused, and those after it cannot be appended under theirs. */
   private giveBack(flight: AppendFlight): void {
     if (this.open.length === 0) this.sequence = flight.numbering.sequence;
@@ -198,7 +227,7 @@
     return this.waiting.splice(0, count);
   }
 
-  /** A multiple of the last answer's time, doubled when several attempts were not answered. */
+  /** A multiple of the last answer's time, later doubled: repeats burden a store that is slow. */
   private repeatMs(attempt: number): number {
     const firstMs = Math.max(MIN_REPEAT_MS, this.answerMs * REPEAT_FACTOR);
     return Math.min(MAX_REPEAT_MS, firstMs * 2 ** Math.max(0, attempt - PATIENT_ATTEMPTS));
--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -33,6 +33,8 @@
 const CLAIM_READ_MS = 300;
 /** Silence in ms after which an owner whose address refuses connections is replaced. */
 const REFUSED_SILENCE_MS = 400;
+/** The owner renews every 250 ms, and followers read every 80 ms. */
+const OVERDUE_MS = 450;
 /** A replica older than this says nothing about a silent owner. */
 const FRESH_MS = 800;
 /** A tick that is this late means that the process stood still, and its observations are void. */
@@ -76,6 +78,11 @@
     return this.machine.getSnapshot().value === 'owning';
   }
 
+  /** False once renewals of the owner are overdue, and while this process claims. */
+  isOwnerAlive(): boolean {
+    return this.machine.getSnapshot().value === 'following' && this.silentMs < OVERDUE_MS;
+  }
+
   /** Token of the claim in force when this process holds it; 0 otherwise. */
   token(): number {
     return this.isOwning() ? this.ownToken : 0;
--- a/packages/cell-log/src/index.ts
+++ b/packages/cell-log/src/index.ts
@@ -4,11 +4,14 @@
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import { RecentRecords } from './recent-records.js';
 import type { SnapshotStore } from './snapshot-store.js';
 
 interface Options {
   clock: Clock;
   store: Pick<LogStore, 'read'>;
+  /** Reads the records to follow; may ask another process than the store. */
+  follow: LogStore['read'];
   snapshots: Pick<SnapshotStore, 'read'>;
   log: EventLog;
   topic: string;
@@ -44,6 +47,7 @@
    * as of the end of its wait, so the time at which it was sent would age a quiet log.
    */
   private currentAsOfMs = Number.NEGATIVE_INFINITY;
+  private readonly recent = RecentRecords.create();
   private waiters: { offset: number; resolve: (reached: boolean) => void }[] = [];
 
   private constructor(private readonly options: Options) {
@@ -80,6 +84,11 @@
     return this.reach(result.end, timeoutMs);
   }
 
+  /** Records from `offset` on that were read; undefined when they are not kept. */
+  recordsFrom(offset: number): Uint8Array[] | undefined {
+    return this.recent.from(offset);
+  }
+
   /** Waits until all records before `offset` are applied. */
   reach(offset: number, timeoutMs: number): Promise<boolean> {
     if (this.state.nextOffset >= offset) return Promise.resolve(true);
@@ -127,9 +136,9 @@
 
   /** True when the replica has reached the end of the log. */
   private async readOnce(waitMs: number): Promise<boolean> {
-    const { store, topic, log } = this.options;
+    const { follow, topic, log } = this.options;
     const from = this.state.nextOffset;
-    const result = await store.read(topic, from, waitMs);
+    const result = await follow(topic, from, waitMs);
     if (this.isStopped) return true;
     if (result.kind === 'failed') {
       if (!this.isLost)
@@ -155,6 +164,7 @@
 
   private applyOne(data: Uint8Array): void {
     const offset = this.state.nextOffset;
+    this.recent.add(offset, data);
     const record = recordCodec.decode(data);
     if (record === undefined) {
       this.options.log('error', 'record-unreadable', { offset, bytes: data.byteLength });
--- /dev/null
+++ b/packages/cell-log/src/recent-records.ts
@@ -0,0 +1,42 @@
+/** Records that are kept; about two seconds of a busy cell. */
+const MAX_RECORDS = 4_000;
+const MAX_BYTES = 2_000_000;
+
+/** The newest records of a log as they were read, for processes that are a little behind. */
+export class RecentRecords {
+  static create(): RecentRecords {
+    return new RecentRecords();
+  }
+
+  private records: Uint8Array[] = [];
+  private firstOffset = 0;
+  private bytes = 0;
+
+  /** Adds the record at `offset`; a gap drops all before it. */
+  add(offset: number, data: Uint8Array): void {
+    if (offset !== this.firstOffset + this.records.length) this.clear(offset);
+    this.records.push(data);
+    this.bytes += data.byteLength;
+    if (this.records.length > 2 * MAX_RECORDS || this.bytes > 2 * MAX_BYTES) this.halve();
+  }
+
+  /** Records from `offset` on; undefined when some of them are not kept any more. */
+  from(offset: number): Uint8Array[] | undefined {
+    if (offset < this.firstOffset || offset > this.firstOffset + this.records.length)
+      return undefined;
+    return this.records.slice(offset - this.firstOffset);
+  }
+
+  private clear(offset: number): void {
+    this.records = [];
+    this.firstOffset = offset;
+    this.bytes = 0;
+  }
+
+  /** Dropping many records at once keeps adding cheap. */
+  private halve(): void {
+    const dropped = this.records.splice(0, Math.ceil(this.records.length / 2));
+    this.firstOffset += dropped.length;
+    for (const data of dropped) this.bytes -= data.byteLength;
+  }
+}
--- /dev/null
+++ b/packages/cell-log/src/store-silence.test.ts
@@ -0,0 +1,33 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { StoreSilence } from './store-silence.js';
+
+// Guards against a store that is taken as away by a process that had nothing to ask, and against a
+// waiting read that counts as silence while it waits.
+test('counts only the time for which an answer is owed', () => {
+  const clock = ManualClock.create();
+  const silence = StoreSilence.create(clock);
+  clock.advance(5_000);
+  expect(silence.ms()).toEqual(0);
+  silence.called(400);
+  clock.advance(400);
+  expect(silence.ms()).toEqual(0);
+  clock.advance(300);
+  expect(silence.ms()).toEqual(300);
+  silence.answered();
+  clock.advance(300);
+  expect(silence.ms()).toEqual(0);
+});
+
+// Guards against a store that refuses every call being taken as there because it does so quickly.
+test('counts refusals as silence', () => {
+  const clock = ManualClock.create();
+  const silence = StoreSilence.create(clock);
+  for (let round = 0; round < 5; round += 1) {
+    silence.called(0);
+    clock.advance(100);
+    silence.failed();
+  }
+  expect(silence.ms()).toEqual(500);
+});
--- /dev/null
+++ b/packages/cell-log/src/store-silence.ts
@@ -0,0 +1,40 @@
+import type { Clock } from '@acaciahoist/clock';
+
+/**
+ * Tells for how long a store has owed an answer. The time since the last answer would not do: a process
+ * that has nothing to ask gets none.
+ */
+export class StoreSilence {
+  static create(clock: Clock): StoreSilence {
+    return new StoreSilence(clock);
+  }
+
+  /** Monotonic time since which an answer is owed; undefined while none is. */
+  private owedSinceMs: number | undefined;
+
+  private constructor(private readonly clock: Clock) {}
+
+  /** A call was sent that is answered after `waitMs` at the latest. */
+  called(waitMs: number): void {
+    this.owedSinceMs ??= this.clock.monotonicMs() + waitMs;
+  }
+
+  /** The store answered a call. */
+  answered(): void {
+    this.owedSinceMs = undefined;
+  }
+
+  /** A call was refused or not answered. */
+  failed(): void {
+    this.owedSinceMs = Math.min(
+      this.owedSinceMs ?? Number.POSITIVE_INFINITY,
+      this.clock.monotonicMs(),
+    );
+  }
+
+  /** Time in ms for which an answer has been owed. */
+  ms(): number {
+    if (this.owedSinceMs === undefined) return 0;
+    return Math.max(0, this.clock.monotonicMs() - this.owedSinceMs);
+  }
+}
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -1,8 +1,4 @@
-import type Result from 'true-myth/result';
-import ResultModule from 'true-myth/result';
 import type { Clock } from '@acaciahoist/clock';
-import { Failure } from '@acaciahoist/errors';
-import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import { CellFront } from '@acaciahoist/cell-front';
 import { CellReplica } from '@acaciahoist/cell-log';
 import { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
@@ -20,8 +16,11 @@
 import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import { isAdvice } from './is-advice.js';
+import { OwnerFeed } from './owner-feed.js';
 import { OwnerLog } from './owner-log.js';
+import { PeerService } from './peer-service.js';
 import { MachineRanking } from './machine-ranking.js';
 import type { PeerCalls } from './peer-calls.js';
 import { Relay } from './relay.js';
@@ -77,6 +76,8 @@
 const RELAY_STORE_SILENT_MS = 700;
 /** Longest time in ms that a stopping owner waits until its release is stored. */
 const RELEASE_MS = 700;
+/** An owner whose replica is older than this in ms vouches for nothing: it may have been replaced. */
+const FEED_AGE_MS = 600;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
 const READY_AGE_MS = 900;
 
@@ -109,9 +110,17 @@
     this.ranking = MachineRanking.create(clock, options.cores);
     const { self } = this;
     this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
+    const feed = OwnerFeed.create({
+      clock,
+      store,
+      peers: options.peers,
+      ownerAddress: () => (this.ownership.isOwnerAlive() ? this.ownerAddress() : undefined),
+    });
     this.replica = CellReplica.create({
       clock,
       store,
+      follow: (topic, from, waitMs) =>
+        this.owner === undefined ? feed.read(topic, from, waitMs) : store.read(topic, from, waitMs),
       log,
       snapshots: this.snapshots,
       topic: topics.cell,
@@ -156,13 +165,7 @@
         log('error', 'front-fenced', {});
       },
     });
-    const relay = Relay.create({
-      peers: options.peers,
-      ownerAddress: () => {
-        const address = this.replica.state.claim?.address;
-        return address === options.peerAddress ? undefined : address;
-      },
-    });
+    const relay = Relay.create({ peers: options.peers, ownerAddress: () => this.ownerAddress() });
     this.front = CellFront.create({
       clock,
       log,
@@ -171,7 +174,7 @@
       replicaAgeMs: () => this.replica.ageMs(),
       storeSilentMs: () => this.storeSilentMs(),
       sync: (timeoutMs) => this.replica.sync(timeoutMs),
-      append: (record) => this.appender.append([recordCodec.encode(record)]),
+      append: (record) => this.appendForClient(recordCodec.encode(record)),
       relayAppend: (record) => relay.append(recordCodec.encode(record)),
       relayOutcome: (id) => relay.outcomeOf(id),
     });
@@ -193,8 +196,18 @@
   }
 
   async start(): Promise<void> {
+    const service = PeerService.create({
+      helpOffered: (offer) => this.takeOffer(offer),
+      append: (data) =>
+        this.storeSilentMs() < RELAY_STORE_SILENT_MS
+          ? this.appendForClient(data)
+          : Promise.resolve(AppendOutcome.refused),
+      outcomeOf: (job) => (this.replica.ageMs() < READY_AGE_MS ? this.outcomeOf(job) : undefined),
+      readLog: (call) => this.readLog(call),
+      advise: this.options.advise,
+    });
     await this.options.peers.start(
-      (type, body) => this.answerPeer(type, body),
+      (type, body) => service.answer(type, body),
       (address) => {
         const { claim } = this.replica.state;
         if (claim?.address === address) this.ownership.suspect(claim.owner, 'refused');
@@ -422,43 +435,48 @@
   }
 
   private storeSilentMs(): number {
-    return this.options.clock.monotonicMs() - this.options.store.lastAnswerMs();
+    return this.options.store.silentMs();
   }
 
-  private async answerPeer(type: string, body: unknown): Promise<Result<unknown, Failure>> {
-    if (type === 'offer-help') {
-      const { address, cores } = body as { address: string; cores: number };
-      this.ranking.heardOf(address, cores);
-      this.owner?.helperSeen(address, (step, workers, timeoutMs) =>
-        this.askHelper(address, step, workers, timeoutMs),
-      );
-      return ResultModule.ok({
-        life: this.self,
-        storeSilentMs: this.storeSilentMs(),
-        largestCores: this.ranking.largest(),
-      });
-    }
-    if (type === 'relay-record') {
-      const { data } = body as { data: Uint8Array };
-      const isReachable = this.storeSilentMs() < RELAY_STORE_SILENT_MS;
-      return ResultModule.ok({
-        outcome: isReachable ? await this.appender.append([data]) : AppendOutcome.refused,
-      });
-    }
-    if (type === 'relay-outcome') {
-      const isCurrent = this.replica.ageMs() < READY_AGE_MS;
-      const { job } = body as { job: string };
-      return ResultModule.ok({ outcome: isCurrent ? (this.outcomeOf(job) ?? '') : '' });
-    }
-    if (type === 'advise') {
-      const { step, workers, timeoutMs } = body as {
-        step: string;
-        workers: string[];
-        timeoutMs: number;
-      };
-      return ResultModule.ok({ advice: await this.options.advise(step, workers, timeoutMs) });
-    }
-    return ResultModule.err(Failure.create(ErrorKind.badRequest, `${type} is not served here`));
+  private takeOffer(
+    offer: PeerCallMap['offer-help']['request'],
+  ): PeerCallMap['offer-help']['reply'] {
+    const { address, cores } = offer;
+    this.ranking.heardOf(address, cores);
+    this.owner?.helperSeen(address, (step, workers, timeoutMs) =>
+      this.askHelper(address, step, workers, timeoutMs),
+    );
+    return {
+      life: this.self,
+      storeSilentMs: this.storeSilentMs(),
+      largestCores: this.ranking.largest(),
+    };
+  }
+
+  /** The owner appends the records of clients together with its own. */
+  private async appendForClient(data: Uint8Array): Promise<AppendOutcome> {
+    const appended = await this.ownerLog?.appendForClient(data);
+    return appended ?? this.appender.append([data]);
+  }
+
+  /** Hands records of the log on to a follower while this process owns the cell and is up to date. */
+  private async readLog(call: {
+    from: number;
+    waitMs: number;
+  }): Promise<PeerCallMap['read-log']['reply'] | undefined> {
+    const { replica } = this;
+    const isCurrent = (): boolean => this.owner !== undefined && replica.ageMs() < FEED_AGE_MS;
+    if (!isCurrent()) return undefined;
+    if (replica.state.nextOffset <= call.from) await replica.reach(call.from + 1, call.waitMs);
+    const records = replica.recordsFrom(call.from);
+    if (records === undefined || !isCurrent()) return undefined;
+    return { end: replica.state.nextOffset, records };
+  }
+
+  /** Address of the owner when it is another process. */
+  private ownerAddress(): string | undefined {
+    const address = this.replica.state.claim?.address;
+    return address === this.options.peerAddress ? undefined : address;
   }
 
   private async askHelper(
--- /dev/null
+++ b/packages/cell-process/src/owner-feed.test.ts
@@ -0,0 +1,56 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import Result from 'true-myth/result';
+import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { Failure } from '@acaciahoist/errors';
+import { ErrorKind } from '@acaciahoist/errors/error-kind';
+import { OwnerFeed } from './owner-feed.js';
+import type { PeerCalls } from './peer-calls.js';
+
+function create(isOwnerUp: () => boolean) {
+  const clock = ManualClock.create();
+  const calls = { store: 0, owner: 0 };
+  const call = (() => {
+    calls.owner += 1;
+    return Promise.resolve(
+      isOwnerUp()
+        ? Result.ok({ end: 8, records: [Buffer.from('a')] })
+        : Result.err(Failure.create(ErrorKind.ownerUnreachable, 'down')),
+    );
+  }) as unknown as PeerCalls['call'];
+  const feed = OwnerFeed.create({
+    clock,
+    peers: { call },
+    ownerAddress: () => 'owner',
+    store: {
+      read: () => {
+        calls.store += 1;
+        return Promise.resolve({ kind: 'records', end: 7, first: 0, records: [] });
+      },
+    },
+  });
+  return { clock, feed, calls };
+}
+
+// Load pattern: many followers of one log. Guards against store calls that grow with their number.
+test('reads through the owner and leaves the store alone', async () => {
+  const { feed, calls } = create(() => true);
+  for (let round = 0; round < 10; round += 1) {
+    const result = await feed.read('cell', 7, 400);
+    expect(result.kind === 'records' && result.end).toEqual(8);
+  }
+  expect(calls).toEqual({ store: 0, owner: 10 });
+});
+
+// Guards against a follower that hears nothing of a take-over because it asks the dead owner.
+test('reads the store at once when the owner does not answer, and tries the owner again later', async () => {
+  let isUp = false;
+  const { clock, feed, calls } = create(() => isUp);
+  expect((await feed.read('cell', 7, 400)).kind).toEqual('records');
+  await feed.read('cell', 7, 400);
+  expect(calls).toEqual({ store: 2, owner: 1 });
+  isUp = true;
+  clock.advance(600);
+  await feed.read('cell', 7, 400);
+  expect(calls).toEqual({ store: 2, owner: 2 });
+});
--- /dev/null
+++ b/packages/cell-process/src/owner-feed.ts
@@ -0,0 +1,49 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { ReadResult } from '@acaciahoist/cell-types/read-result';
+import type { PeerCalls } from './peer-calls.js';
+
+interface Options {
+  clock: Clock;
+  store: Pick<LogStore, 'read'>;
+  peers: Pick<PeerCalls, 'call'>;
+  /** Address of another process that owns the cell; undefined for none or oneself. */
+  ownerAddress: () => string | undefined;
+}
+
+/** Time in ms for the way to the owner and back, beyond the wait. A call takes 2 ms. */
+const CALL_MS = 150;
+/** Longest wait at the owner in ms; an owner that stands still must be noticed soon. */
+const OWNER_WAIT_MS = 300;
+/** Time in ms for which the store is read after the owner did not answer. */
+const AVOID_MS = 500;
+
+/**
+ * Reads the cell log for a follower. Load pattern: many processes that follow one log. The owner has
+ * read the records already and hands them on, so that the calls to the store do not grow with the
+ * number of processes; without an answer of the owner the store is read.
+ */
+export class OwnerFeed {
+  static create(options: Options): OwnerFeed {
+    return new OwnerFeed(options);
+  }
+
+  private avoidUntilMs = Number.NEGATIVE_INFINITY;
+
+  private constructor(private readonly options: Options) {}
+
+  async read(topic: string, from: number, waitMs: number): Promise<ReadResult> {
+    const { clock, store, peers, ownerAddress } = this.options;
+    const address = ownerAddress();
+    if (address === undefined || clock.monotonicMs() < this.avoidUntilMs)
+      return store.read(topic, from, waitMs);
+    const call = { from, waitMs: Math.min(waitMs, OWNER_WAIT_MS) };
+    const reply = await peers.call(address, 'read-log', call, call.waitMs + CALL_MS);
+    if (reply.isOk) {
+      const { end, records } = reply.value;
+      return { kind: 'records', end, first: from, records: [...records] };
+    }
+    this.avoidUntilMs = clock.monotonicMs() + AVOID_MS;
+    return store.read(topic, from, 0);
+  }
+}
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -87,6 +87,11 @@
       this.acknowledgedMs = Math.max(this.acknowledgedMs, sentMs);
   }
 
+  /** Appends a record for a client. Undefined when the store does not answer, so that it would wait. */
+  async appendForClient(data: Uint8Array): Promise<AppendOutcome | undefined> {
+    return this.records.isFailing ? undefined : this.records.append([data]);
+  }
+
   private async renew(): Promise<void> {
     if (this.isRenewing) return;
     this.isRenewing = true;
--- a/packages/cell-process/src/peer-calls.ts
+++ b/packages/cell-process/src/peer-calls.ts
@@ -9,7 +9,7 @@
     handle: (type: string, body: unknown) => Promise<Result<unknown, Failure>>,
     onRefused: (address: string) => void,
   ): Promise<void>;
-  call<Type extends 'offer-help' | 'advise' | 'relay-record' | 'relay-outcome'>(
+  call<Type extends 'offer-help' | 'advise' | 'relay-record' | 'relay-outcome' | 'read-log'>(
     address: string,
     type: Type,
     body: PeerCallMap[Type]['request'],
--- /dev/null
+++ b/packages/cell-process/src/peer-service.ts
@@ -0,0 +1,60 @@
+import Result from 'true-myth/result';
+import type { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
+import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
+import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
+import { Failure } from '@acaciahoist/errors';
+import { ErrorKind } from '@acaciahoist/errors/error-kind';
+import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
+
+type Request<Type extends keyof PeerCallMap> = PeerCallMap[Type]['request'];
+type Reply<Type extends keyof PeerCallMap> = PeerCallMap[Type]['reply'];
+
+interface Options {
+  /** Another process offers help; returns what it learns about this one. */
+  helpOffered: (offer: Request<'offer-help'>) => Reply<'offer-help'>;
+  /** Appends a record for a process that the store does not answer. */
+  append: (data: Uint8Array) => Promise<AppendOutcome>;
+  /** State of a job; undefined when it is not known or the replica is behind. */
+  outcomeOf: (job: string) => JobOutcome | undefined;
+  /** Records of the log from an offset on; undefined when this process cannot vouch for them. */
+  readLog: (call: Request<'read-log'>) => Promise<Reply<'read-log'> | undefined>;
+  advise: AdviceClient;
+}
+
+/** Answers the calls of other processes of the cell. Message shapes are checked by the peer protocol. */
+export class PeerService {
+  static create(options: Options): PeerService {
+    return new PeerService(options);
+  }
+
+  private constructor(private readonly options: Options) {}
+
+  async answer(type: string, body: unknown): Promise<Result<unknown, Failure>> {
+    switch (type) {
+      case 'offer-help':
+        return Result.ok(this.options.helpOffered(body as Request<'offer-help'>));
+      case 'relay-record':
+        return Result.ok({
+          outcome: await this.options.append((body as Request<'relay-record'>).data),
+        });
+      case 'relay-outcome':
+        return Result.ok({
+          outcome: this.options.outcomeOf((body as Request<'relay-outcome'>).job) ?? '',
+        });
+      case 'read-log':
+        return this.readLog(body as Request<'read-log'>);
+      case 'advise': {
+        const { step, workers, timeoutMs } = body as Request<'advise'>;
+        return Result.ok({ advice: await this.options.advise(step, workers, timeoutMs) });
+      }
+      default:
+        return Result.err(Failure.create(ErrorKind.badRequest, `${type} is not served here`));
+    }
+  }
+
+  private async readLog(call: Request<'read-log'>): Promise<Result<unknown, Failure>> {
+    const page = await this.options.readLog(call);
+    if (page !== undefined) return Result.ok(page);
+    return Result.err(Failure.create(ErrorKind.notOwner, 'this process cannot vouch for the log'));
+  }
+}
--- a/packages/cell-types/src/log-store.ts
+++ b/packages/cell-types/src/log-store.ts
@@ -13,6 +13,6 @@
   encodeKeyed(record: KeyedRecord): Uint8Array;
   /** Undefined for bytes that are no keyed record. */
   decodeKeyed(data: Uint8Array): KeyedRecord | undefined;
-  /** Monotonic time in ms of the last answer of the store, which tells a store that is away. */
-  lastAnswerMs(): number;
+  /** Time in ms for which the store has owed an answer, which tells a store that is away. */
+  silentMs(): number;
 }
--- a/packages/entry/src/peer-service.ts
+++ b/packages/entry/src/peer-service.ts
@@ -51,6 +51,7 @@
       advise: notServed,
       'relay-record': notServed,
       'relay-outcome': notServed,
+      'read-log': notServed,
       probe: () => Promise.resolve(Result.ok({})),
       heartbeat: (body, from) => Promise.resolve(Result.ok(membership.acceptHeartbeat(from, body))),
       digest: ({ views }) => Promise.resolve(Result.ok({ views: membership.acceptDigest(views) })),
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -84,5 +84,6 @@
   advise: object({ step: string, workers: list(string, 256), timeoutMs: number }),
   'relay-record': object({ data: bytes }),
   'relay-outcome': object({ job: string }),
+  'read-log': object({ from: number, waitMs: number }),
   'read-configuration': object({}),
 };
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -60,6 +60,11 @@
   };
   /** Sent by a process that the store turns away: the receiver appends the record in its place. */
   'relay-record': { request: { data: Uint8Array }; reply: { outcome: string } };
+  /** Sent by a follower: records of the cell log from an offset on, as the owner has read them. */
+  'read-log': {
+    request: { from: number; waitMs: number };
+    reply: { end: number; records: readonly Uint8Array[] };
+  };
   /** Sent by a process whose replica is behind. `outcome` is empty for an unknown job. */
   'relay-outcome': { request: { job: string }; reply: { outcome: string } };
   advise: {
