--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -114,6 +114,7 @@
     this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
     const feed = OwnerFeed.create({
       clock,
+      log,
       store,
       peers: options.peers,
       ownerAddress: () => (this.ownership.isOwnerAlive() ? this.ownerAddress() : undefined),
--- a/packages/cell-process/src/owner-feed.test.ts
+++ b/packages/cell-process/src/owner-feed.test.ts
@@ -18,8 +18,10 @@
         : Result.err(Failure.create(ErrorKind.ownerUnreachable, 'down')),
     );
   }) as unknown as PeerCalls['call'];
+  const events: string[] = [];
   const feed = OwnerFeed.create({
     clock,
+    log: (_level, event) => events.push(event),
     peers: { call },
     ownerAddress: () => 'owner',
     store: {
@@ -29,7 +31,7 @@
       },
     },
   });
-  return { clock, feed, calls };
+  return { clock, feed, calls, events };
 }
 
 // Load pattern: many followers of one log. Guards against store calls that grow with their number.
@@ -45,7 +47,7 @@
 // Guards against a follower that hears nothing of a take-over because it asks the dead owner.
 test('reads the store at once when the owner does not answer, and tries the owner again later', async () => {
   let isUp = false;
-  const { clock, feed, calls } = create(() => isUp);
+  const { clock, feed, calls, events } = create(() => isUp);
   expect((await feed.read('cell', 7, 400)).kind).toEqual('records');
   await feed.read('cell', 7, 400);
   expect(calls).toEqual({ store: 2, owner: 1 });
@@ -53,4 +55,5 @@
   clock.advance(600);
   await feed.read('cell', 7, 400);
   expect(calls).toEqual({ store: 2, owner: 2 });
+  expect(events).toEqual(['owner-feed-lost', 'owner-feed-regained']);
 });
--- a/packages/cell-process/src/owner-feed.ts
+++ b/packages/cell-process/src/owner-feed.ts
@@ -1,10 +1,12 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { ReadResult } from '@acaciahoist/cell-types/read-result';
+import type { EventLog } from '@acaciahoist/types/event-log';
 import type { PeerCalls } from './peer-calls.js';
 
 interface Options {
   clock: Clock;
+  log: EventLog;
   store: Pick<LogStore, 'read'>;
   peers: Pick<PeerCalls, 'call'>;
   /** Address of another process that owns the cell; undefined for none or oneself. */
@@ -29,6 +31,7 @@
   }
 
   private avoidUntilMs = Number.NEGATIVE_INFINITY;
+  private isFed = true;
 
   private constructor(private readonly options: Options) {}
 
@@ -40,10 +43,19 @@
     const call = { from, waitMs: Math.min(waitMs, OWNER_WAIT_MS) };
     const reply = await peers.call(address, 'read-log', call, call.waitMs + CALL_MS);
     if (reply.isOk) {
+      this.noteFeed(address, true, '');
       const { end, records } = reply.value;
       return { kind: 'records', end, first: from, records: [...records] };
     }
+    this.noteFeed(address, false, reply.error.message);
     this.avoidUntilMs = clock.monotonicMs() + AVOID_MS;
     return store.read(topic, from, 0);
   }
+
+  private noteFeed(owner: string, isFed: boolean, reason: string): void {
+    if (isFed === this.isFed) return;
+    this.isFed = isFed;
+    if (isFed) this.options.log('info', 'owner-feed-regained', { owner });
+    else this.options.log('warn', 'owner-feed-lost', { owner, reason });
+  }
 }
