--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -6,7 +6,6 @@
 import { CellOwnership } from '@acaciahoist/cell-log/cell-ownership';
 import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
 import { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
-import { CellOwner } from '@acaciahoist/cell-owner';
 import { recordCodec } from '@acaciahoist/cell-state/record-codec';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import type { CellConfiguration } from '@acaciahoist/cell-types/cell-configuration';
@@ -19,7 +18,7 @@
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import { isAdvice } from './is-advice.js';
 import { OwnerFeed } from './owner-feed.js';
-import { OwnerLog } from './owner-log.js';
+import { OwnerTerm } from './owner-term.js';
 import { PeerService } from './peer-service.js';
 import { MachineRanking } from './machine-ranking.js';
 import type { PeerCalls } from './peer-calls.js';
@@ -59,10 +58,6 @@
 const OWNER_GAP_MS = 50;
 /** The configuration must be in force within 2 s: a read waits this long in ms at most. */
 const CONFIGURATION_WAIT_MS = 1_000;
-/** Time in ms between two reads of worker entries; a drain must be known well within 2 s. */
-const WORKERS_GAP_MS = 250;
-/** Entries are read again in full at this interval in ms, so that missing ones are noticed. */
-const WORKERS_RELOAD_MS = 2_500;
 /** Interval of calls to the owner in ms; also finds an owner whose process is gone. */
 const OFFER_HELP_MS = 300;
 const OFFER_TIMEOUT_MS = 700;
@@ -76,8 +71,6 @@
 const OWNER_STORE_SILENT_MS = 700;
 /** A process that the store has not answered for this long in ms relays nothing. */
 const RELAY_STORE_SILENT_MS = 700;
-/** Longest time in ms that a stopping owner waits until its release is stored. */
-const RELEASE_MS = 700;
 /** An owner whose replica is older than this in ms vouches for nothing: it may have been replaced. */
 const FEED_AGE_MS = 600;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
@@ -96,14 +89,12 @@
   private readonly appender: Appender;
   private readonly snapshots: SnapshotStore;
   private readonly configurationFollower: KeyedFollower;
-  private owner: CellOwner | undefined;
-  private ownerLog: OwnerLog | undefined;
-  private workersFollower: KeyedFollower | undefined;
+  /** Present while this process owns the cell. */
+  private term: OwnerTerm | undefined;
   private isStopping = false;
   /** Name of this life of the process. */
   private readonly self: string;
   private readonly ranking: MachineRanking;
-  private ownedSinceMs = 0;
   private mayYieldFromMs = 0;
 
   private constructor(private readonly options: Options) {
@@ -123,7 +114,7 @@
       clock,
       store,
       follow: (topic, from, waitMs) =>
-        this.owner === undefined ? feed.read(topic, from, waitMs) : store.read(topic, from, waitMs),
+        this.term === undefined ? feed.read(topic, from, waitMs) : store.read(topic, from, waitMs),
       log,
       snapshots: this.snapshots,
       topic: topics.cell,
@@ -223,7 +214,7 @@
   }
 
   isOwner(): boolean {
-    return this.owner !== undefined;
+    return this.term !== undefined;
   }
 
   /** State of a job as this process knows it. */
@@ -254,31 +245,22 @@
   async handOver(): Promise<void> {
     this.isStopping = true;
     this.ownership.stop();
-    await this.release();
+    await this.term?.release();
     this.ceaseOwner('stopping');
   }
 
   /** Hands the cell over when a much larger machine can own it. */
   private async yieldToLarger(): Promise<void> {
     const { clock, log, cores } = this.options;
-    const ownedMs = clock.monotonicMs() - this.ownedSinceMs;
-    if (this.owner === undefined || ownedMs < MIN_OWNED_MS || !this.ranking.isOutranked()) return;
-    if (clock.monotonicMs() < this.mayYieldFromMs) return;
-    this.mayYieldFromMs = clock.monotonicMs() + YIELD_INTERVAL_MS;
+    const nowMs = clock.monotonicMs();
+    if (this.term === undefined || !this.ranking.isOutranked()) return;
+    if (nowMs - this.term.startedMs < MIN_OWNED_MS || nowMs < this.mayYieldFromMs) return;
+    this.mayYieldFromMs = nowMs + YIELD_INTERVAL_MS;
     log('info', 'owner-yields', { cores, largestCores: this.ranking.largest() });
-    await this.release();
+    await this.term.release();
     this.ownership.fenced('a larger machine');
   }
 
-  /** Stops the owner's work and records that another process may claim. */
-  private async release(): Promise<void> {
-    this.owner?.stop();
-    if (this.ownerLog === undefined) return;
-    const released = this.ownerLog.append([{ kind: 'release' }]);
-    const timeout = new Promise<void>((resolve) => this.options.clock.after(RELEASE_MS, resolve));
-    await Promise.race([released, timeout]);
-  }
-
   stop(): void {
     this.replica.stop();
     this.configurationFollower.stop();
@@ -300,7 +282,7 @@
         jobs: state.jobs.size,
         ended: state.ended.size,
       },
-      cell: this.owner?.describe() ?? null,
+      cell: this.term?.describe() ?? null,
       peers: this.options.peers.describe(),
     };
   }
@@ -308,7 +290,7 @@
   private applied(record: CellRecord, effective: boolean): void {
     if (record.kind === 'job') this.front.observeJob(record.job.id);
     this.ownership.observe(record, effective);
-    this.owner?.observe(record, effective);
+    this.term?.observe(record, effective);
   }
 
   private takeConfiguration(key: string, value: Uint8Array | undefined): void {
@@ -328,84 +310,26 @@
   }
 
   private becomeOwner(token: number): void {
-    const { clock, log, count, store, topics } = this.options;
+    const { log } = this.options;
     this.ceaseOwner('claimed anew');
-    this.ownedSinceMs = clock.monotonicMs();
     log('info', 'owner-started', { token, jobs: this.replica.state.jobs.size });
-    const ownerLog = OwnerLog.create({
-      clock,
-      store,
-      log,
-      topics,
-      token,
+    this.term = OwnerTerm.create({
+      ...this.options,
       snapshots: this.snapshots,
-      state: () => this.replica.state,
-      onFenced: () => {
-        this.ownership.fenced('store');
-      },
-      onAppended: (offset, records, sentMs) => {
-        this.replica.takeAppended(offset, records, sentMs);
-      },
-    });
-    const owner = CellOwner.create({
-      clock,
-      log,
-      count,
-      state: this.replica.state,
+      replica: this.replica,
       token,
-      append: (records) => {
-        void ownerLog.append(records);
-      },
-      storeSilentMs: () => ownerLog.silentMs(),
-      connect: this.options.connect,
-      advise: this.options.advise,
-      onFenced: () => {
-        this.ownership.fenced('worker');
-      },
-    });
-    this.ownerLog = ownerLog;
-    this.owner = owner;
-    this.workersFollower = KeyedFollower.create({
-      clock,
-      store,
-      log,
-      topic: topics.workers,
-      waitMs: 0,
-      gapMs: WORKERS_GAP_MS,
-      reloadMs: WORKERS_RELOAD_MS,
-      onRecord: (record) => {
-        this.takeWorker(owner, record.key, record.value);
-      },
-      onReloaded: (records) => {
-        for (const record of records) this.takeWorker(owner, record.key, record.value);
-        owner.workersPresent(new Set(records.map((record) => record.key)));
+      onFenced: (by) => {
+        this.ownership.fenced(by);
       },
     });
-    ownerLog.start();
-    owner.start();
-    void this.workersFollower.run();
-  }
-
-  private takeWorker(owner: CellOwner, id: string, value: Uint8Array | undefined): void {
-    if (value === undefined) {
-      owner.workerMissing(id);
-      return;
-    }
-    const entry = this.options.decodeWorkerEntry(id, value);
-    if (entry === undefined)
-      this.options.log('warn', 'worker-entry-unreadable', { worker: id, bytes: value.byteLength });
-    else owner.workerSeen(entry);
+    this.term.start();
   }
 
   private ceaseOwner(reason: string): void {
-    if (this.owner === undefined) return;
+    if (this.term === undefined) return;
     this.options.log('info', 'owner-stopped', { reason });
-    this.owner.stop();
-    this.ownerLog?.stop();
-    this.workersFollower?.stop();
-    this.owner = undefined;
-    this.ownerLog = undefined;
-    this.workersFollower = undefined;
+    this.term.stop();
+    this.term = undefined;
   }
 
   private offerHelp(): void {
@@ -446,7 +370,7 @@
   ): PeerCallMap['offer-help']['reply'] {
     const { address, cores } = offer;
     this.ranking.heardOf(address, cores);
-    this.owner?.helperSeen(address, (step, workers, timeoutMs) =>
+    this.term?.helperSeen(address, (step, workers, timeoutMs) =>
       this.askHelper(address, step, workers, timeoutMs),
     );
     return {
@@ -458,7 +382,7 @@
 
   /** The owner appends the records of clients together with its own. */
   private async appendForClient(data: Uint8Array): Promise<AppendOutcome> {
-    const appended = await this.ownerLog?.appendForClient(data);
+    const appended = await this.term?.appendForClient(data);
     return appended ?? this.appender.append([data]);
   }
 
@@ -468,7 +392,7 @@
     waitMs: number;
   }): Promise<PeerCallMap['read-log']['reply'] | undefined> {
     const { replica } = this;
-    const isCurrent = (): boolean => this.owner !== undefined && replica.ageMs() < FEED_AGE_MS;
+    const isCurrent = (): boolean => this.term !== undefined && replica.ageMs() < FEED_AGE_MS;
     if (!isCurrent()) return undefined;
     if (replica.state.nextOffset <= call.from) await replica.reach(call.from + 1, call.waitMs);
     const records = replica.recordsFrom(call.from);
