Take a store that owes an answer for 0.6 s as away

Cause: since followers read through the owner they call the store seldom, and its silence counts from an owed answer only; the limits of 0.7 and 1 s were made for the time since the last answer. Change: 0.6 s, which is above the 0.4 s that a slow store takes.

--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -170,3 +170,19 @@
   const result = await front.submit(job, 2_850);
   expect(result.isErr && result.error.kind).toEqual(ErrorKind.appendUnknown);
 });
+
+// Guards against a second of submissions that wait for a store that is away: each of them ends without
+// a certain answer, while a refusal lets its client come back in time.
+test('refuses at once when the store has owed an answer for longer than a slow store takes', async () => {
+  const { front } = create({
+    storeSilentMs: 650,
+    append: () => new Promise(() => undefined),
+  });
+  const result = await Promise.race([
+    front.submit(job, 2_850),
+    settleCalls().then(() => 'still waiting' as const),
+  ]);
+  expect(result !== 'still waiting' && result.isErr && result.error.kind).toEqual(
+    ErrorKind.logUnavailable,
+  );
+});
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -27,8 +27,8 @@
   relayOutcome: (id: string) => Promise<JobOutcome | undefined>;
 }
 
-/** A store that was silent for this long in ms is taken as away: requests are refused at once. */
-const STORE_AWAY_MS = 1_000;
+/** A store that owes an answer for this long in ms is away: requests are refused at once. A slow one takes 400. */
+const STORE_AWAY_MS = 600;
 /** A replica older than this in ms may show a job as running that has ended: the owner is asked. */
 const REPLICA_BEHIND_MS = 900;
 /** Bounds in ms of the wait before a second way is tried. A record takes 20 ms, 500 ms when the store is slow. */
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -67,10 +67,10 @@
 const MIN_OWNED_MS = 1_500;
 /** Least time in ms between two hand-overs by one process: the larger machine may be at fault. */
 const YIELD_INTERVAL_MS = 8_000;
-/** An owner that the store has not answered for this long in ms is turned away or cut off. */
-const OWNER_STORE_SILENT_MS = 700;
-/** A process that the store has not answered for this long in ms relays nothing. */
-const RELAY_STORE_SILENT_MS = 700;
+/** An owner to which the store owes an answer for this long in ms is turned away. A slow store takes 400. */
+const OWNER_STORE_SILENT_MS = 600;
+/** A process to which the store owes an answer for this long in ms relays nothing. */
+const RELAY_STORE_SILENT_MS = 600;
 /** An owner whose replica is older than this in ms vouches for nothing: it may have been replaced. */
 const FEED_AGE_MS = 600;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
