Pace tasks that fill by the tails of those that serve

Cause: listed in docs/platform.md as not built: a filler worked on at full share beside a serving task over its target. Ruled out: stopping fillers, which throws their work away; learning interference by image first, which needs seconds of harm for each pair. Change: paceFillers (pure) halves, stops and raises; PaceDesk gives the orders after each list of runs; a paced run is not judged for standing still. Orders that may be carried out late are repeated while a tail is over its target.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -63,6 +63,33 @@
   expect(cell.history.filter((event) => event.kind === 'started').length).toEqual(4);
 });
 
+// Load pattern: tasks that fill beside tasks that serve. Guards against a serving task that stays over
+// its target for 4 s because of its neighbours, also after a take-over, whose successor does not know
+// what was ordered.
+test('paces what fills beside a serving task, and goes on after a take-over', async () => {
+  const cell = EmulatedCell.create({ seed: 22, processes: 3, workers: 1 });
+  await cell.start();
+  await cell.run(2_000);
+  const serving = makeJob(1, [{ longRunning: true, tailTargetMs: 100, estimateMs: 600_000 }]);
+  const filler = makeJob(2, [{ count: 2, usesSpareCpu: true, estimateMs: 600_000 }]);
+  const submitted = [cell.submit(serving, 'p0'), cell.submit(filler, 'p1')];
+  await cell.run(1_000);
+  expect(await Promise.all(submitted)).toEqual(['accepted', 'accepted']);
+  const [worker] = cell.workers.values();
+  let overMs = 0;
+  let longestOverMs = 0;
+  for (let passed = 0; passed < 30_000; passed += 100) {
+    if (passed === 15_000) cell.kill(cell.ownerName() ?? '');
+    await cell.run(100);
+    overMs = (worker?.tailMs() ?? 0) > 100 ? overMs + 100 : 0;
+    longestOverMs = Math.max(longestOverMs, overMs);
+  }
+  expect(longestOverMs).toBeLessThan(4_000);
+  expect(cell.violations()).toEqual([]);
+  const stopped = cell.history.filter((event) => event.how === 'stopped');
+  expect(stopped).toEqual([]);
+});
+
 // Guards against a slow take-over: the target is a lease (3 s) and 1 s from the death to the next start.
 test('starts work again soon after the death of the owner', async () => {
   const cell = await startCell(8);
--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { EndedRun } from '@acaciahoist/cell-types/ended-run';
 import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
+import { PaceReply } from '@acaciahoist/cell-types/pace-reply';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import type { StartOrder } from '@acaciahoist/cell-types/start-order';
 import type { StartReply } from '@acaciahoist/cell-types/start-reply';
@@ -17,6 +18,8 @@
   startedMs: number;
   workMs: number;
   cancel: () => void;
+  /** Share of its work in percent that it was told to do. */
+  sharePercent: number;
 }
 
 interface Options {
@@ -27,6 +30,8 @@
   /** Number of members when the task belongs to a gang; 0 otherwise. */
   gangSizeOf: (task: string) => number;
   gangs: EmulatedGangs;
+  /** True for a task that uses spare processor time. */
+  isFiller: (task: string) => boolean;
   record: (event: HistoryEvent) => void;
 }
 
@@ -36,6 +41,9 @@
 const STOP_MS = 100;
 const LATE_MS = 4_000;
 const POLL_MS = 5;
+/** Tail in ms of a serving task by itself, and what a filler at full share adds. */
+const BASE_TAIL_MS = 40;
+const HARM_MS = 100;
 
 /** One life of a worker: fences, leases, runs and their ends, with faults that a test sets. */
 export class EmulatedWorker {
@@ -88,6 +96,13 @@
         ),
       stop: (task, run, token) =>
         this.call(caller, () => this.stop(task, run, token), StopReply.failed, StopReply.failed),
+      pace: (task, run, percent, token) =>
+        this.call(
+          caller,
+          () => this.pace(task, run, percent, token),
+          PaceReply.failed,
+          PaceReply.failed,
+        ),
       hold: (order) => this.hold(caller, order),
       close: () => undefined,
     };
@@ -146,6 +161,7 @@
         task,
         run,
         checkpoint: '',
+        load: this.options.isFiller(task) ? 0 : this.tailMs(),
         percent: Math.min(
           99,
           Math.floor(((this.options.clock.monotonicMs() - startedMs) * 100) / workMs),
@@ -181,6 +197,7 @@
       startedMs,
       workMs: Math.max(1, work.ms),
       cancel,
+      sharePercent: 100,
     });
     this.note('started', order.task, order.run, undefined);
     if (gangSize > 0) {
@@ -201,6 +218,22 @@
     return StopReply.confirmed;
   }
 
+  private pace(task: string, run: number, percent: number, token: number): PaceReply {
+    if (token < this.token) return PaceReply.fenced;
+    this.token = token;
+    const found = this.runs.get(task);
+    if (found?.run === run) found.sharePercent = percent;
+    return PaceReply.paced;
+  }
+
+  /** Tail in ms of every serving task here; it grows with the work of the tasks that fill. */
+  tailMs(): number {
+    let share = 0;
+    for (const run of this.runs.values())
+      if (this.options.isFiller(run.task)) share += run.sharePercent / 100;
+    return BASE_TAIL_MS + HARM_MS * share;
+  }
+
   private finish(task: string, run: number, how: RunEnd): void {
     const found = this.runs.get(task);
     if (found?.run !== run || !this.isUp) return;
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -3,6 +3,7 @@
 import { Failure } from '@acaciahoist/errors';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import type { CellJob } from '@acaciahoist/cell-types';
+import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
@@ -100,6 +101,7 @@
       workOf: (task, run) => this.workOf(task, run),
       gangSizeOf: (task) => this.gangSizeOf(task),
       gangs: this.gangs,
+      isFiller: (task) => this.stepOf(task)?.usesSpareCpu === true,
       record: (event) => this.history.push(event),
     });
     this.workers.set(id, worker);
@@ -221,11 +223,15 @@
   }
 
   private gangSizeOf(task: string): number {
-    const ref = taskName.parse(task);
-    const step = ref && this.jobs.get(ref.job)?.steps[ref.step];
+    const step = this.stepOf(task);
     return step?.gang === true ? step.count : 0;
   }
 
+  private stepOf(task: string): CellStep | undefined {
+    const ref = taskName.parse(task);
+    return ref && this.jobs.get(ref.job)?.steps[ref.step];
+  }
+
   private connect(
     name: string,
     life: string,
@@ -245,6 +251,8 @@
     return {
       start: (order) => client()?.start(order) ?? none({ kind: 'unknown', reason: 'cut off' }),
       stop: (task, run, token) => client()?.stop(task, run, token) ?? none('failed' as const),
+      pace: (task, run, percent, token) =>
+        client()?.pace(task, run, percent, token) ?? none('failed' as const),
       hold: (call) => client()?.hold(call) ?? none({ kind: 'failed', reason: 'cut off' }),
       close: () => undefined,
     };
--- a/packages/cell-owner/src/run-judge.ts
+++ b/packages/cell-owner/src/run-judge.ts
@@ -24,6 +24,12 @@
   checkProgress(link: WorkerLink, view: RunView, nowMs: number): void {
     const step = this.context.state.stepOf(view.task);
     if (step === undefined || step.longRunning) return;
+    // A run that was told to give way makes less progress or none.
+    if (step.usesSpareCpu && view.pacedPercent !== 100) {
+      view.percentAtMs = nowMs;
+      view.isMeasured = true;
+      return;
+    }
     if (view.percent >= limits.measurablePercent)
       this.measure(view, ((view.percentAtMs - view.sinceMs) * 100) / view.percent);
     const stallMs = step.gang ? limits.gangStallMs : limits.stallMs;
--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -3,6 +3,7 @@
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
+import { PaceDesk } from './pace-desk.js';
 import type { RunJudge } from './run-judge.js';
 import type { RunView } from './run-view.js';
 import type { WorkerLink } from './worker-link.js';
@@ -13,13 +14,16 @@
     return new RunTracker(context, judge);
   }
 
+  private readonly pacing: PaceDesk;
   /** Time of the newest list of runs by worker. */
   private readonly heldMs = new Map<string, number>();
 
   private constructor(
     private readonly context: OwnerContext,
     private readonly judge: RunJudge,
-  ) {}
+  ) {
+    this.pacing = PaceDesk.create(context);
+  }
 
   /** A worker answered a hold call that was sent at `sentMs`. */
   held(link: WorkerLink, reply: Extract<HoldReply, { kind: 'held' }>, sentMs: number): void {
@@ -49,6 +53,7 @@
         view.percent = row.percent;
         view.percentAtMs = nowMs;
       }
+      view.load = row.load;
       if (row.checkpoint !== '') view.checkpoint = row.checkpoint;
       if (!this.isWanted(view)) this.context.sendStop(link, view);
       else this.judge.checkProgress(link, view, nowMs);
@@ -57,6 +62,7 @@
       if (!listed.has(view.task)) this.runMissing(link, view, sentMs);
     }
     this.acknowledgeEnds(link);
+    this.pacing.review(link);
   }
 
   private runEnded(link: WorkerLink, ended: EndedRun): void {
--- a/packages/cell-owner/src/run-view.ts
+++ b/packages/cell-owner/src/run-view.ts
@@ -19,6 +19,12 @@
   percent: number;
   percentAtMs: number;
   checkpoint: string;
+  /** Newest figure of the worker: tail in ms of a serving task, millicores in use of any other. */
+  load: number;
+  /** Share of its work in percent that the run was told to do; undefined while that is not known. */
+  pacedPercent: number | undefined;
+  /** Monotonic time of the newest pace order. */
+  pacedMs: number;
   /** The speed of the run was already counted for its worker. */
   isMeasured: boolean;
   /** Monotonic time of the newest stop order; 0 for none. */
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -36,6 +36,9 @@
       percent: 0,
       percentAtMs: nowMs,
       checkpoint: found.task.checkpoint,
+      load: 0,
+      pacedPercent: 100,
+      pacedMs: nowMs,
       // A run that resumes from a checkpoint does less than its estimate says.
       isMeasured: found.task.checkpoint !== '',
       stopSentMs: 0,
--- /dev/null
+++ b/packages/cell-planner/src/pace-fillers.ts
@@ -0,0 +1,59 @@
+/** A task on a worker that serves its own users. */
+interface Serving {
+  /** Tail of its response times in ms over the last half second. */
+  tailMs: number;
+  targetMs: number;
+}
+
+/** A task on the same worker that uses spare processor time. */
+interface Filler {
+  task: string;
+  /** Share of its work in percent that it was last told to do; undefined when that is not known. */
+  percent: number | undefined;
+  /** Time in ms since it was told. */
+  pacedForMs: number;
+}
+
+/** Above this share of the target the fillers give way: the figure is half a second old and rough. */
+const CAUTION_SHARE = 0.85;
+/** Below this share of the target there is room for more. */
+const CALM_SHARE = 0.6;
+/** What a filler gets back at a time, in percent. */
+const RAISE_PERCENT = 20;
+/** Time in ms after which an order is given again while a tail is still over its target. */
+const REPEAT_MS = 1_000;
+/** Least time in ms between two raises, so that the tail shows the last one. */
+const RAISE_INTERVAL_MS = 1_500;
+
+/**
+ * Load pattern: tasks that fill beside tasks that serve, whose interference is not known and changes
+ * within seconds. Fillers are halved when a tail comes near its target, stopped when it is over, and
+ * raised step by step while all tails are low. Returns the fillers that get another share.
+ */
+export function paceFillers(
+  serving: readonly Serving[],
+  fillers: readonly Filler[],
+): { task: string; percent: number }[] {
+  const load = Math.max(0, ...serving.map(({ tailMs, targetMs }) => tailMs / targetMs));
+  return fillers.flatMap(({ task, percent, pacedForMs }) => {
+    const wanted = shareFor(load, percent, pacedForMs);
+    // An earlier order may have been carried out late, after the newest one.
+    const isRepeated = load > 1 && pacedForMs >= REPEAT_MS;
+    return wanted === percent && !isRepeated ? [] : [{ task, percent: wanted }];
+  });
+}
+
+function shareFor(load: number, percent: number | undefined, pacedForMs: number): number {
+  if (load > 1) return 0;
+  // A successor does not know what its predecessor ordered: it starts low where someone is served.
+  if (percent === undefined) return load > 0 ? RAISE_PERCENT : 100;
+  if (load > CAUTION_SHARE) return pacedForMs < RAISE_INTERVAL_MS ? percent : halve(percent);
+  if (load === 0) return 100;
+  if (load > CALM_SHARE || pacedForMs < RAISE_INTERVAL_MS) return percent;
+  return Math.min(100, percent + RAISE_PERCENT);
+}
+
+/** A share below one raise is none. */
+function halve(percent: number): number {
+  return percent <= RAISE_PERCENT ? 0 : Math.floor(percent / 2);
+}
--- a/packages/cell-types/src/running-run.ts
+++ b/packages/cell-types/src/running-run.ts
@@ -6,4 +6,9 @@
   checkpoint: string;
   /** Share of the work that is done, 0 to 100. */
   percent: number;
+  /**
+   * Rough figure for the last half second: the tail of the response times in ms for a task that serves
+   * its own users, the millicores in use for any other.
+   */
+  load: number;
 }
--- a/packages/cell-types/src/worker-client.ts
+++ b/packages/cell-types/src/worker-client.ts
@@ -1,4 +1,5 @@
 import type { HoldReply } from './hold-reply.js';
+import type { PaceReply } from './pace-reply.js';
 import type { StartOrder } from './start-order.js';
 import type { StartReply } from './start-reply.js';
 
@@ -7,6 +8,8 @@
   start(order: StartOrder): Promise<StartReply>;
   /** Confirmed when true: the run is being stopped, or will be refused if its start arrives later. */
   stop(task: string, run: number, token: number): Promise<StopReply>;
+  /** Lets a task do this share of its work, 0 to 100, until told otherwise. */
+  pace(task: string, run: number, percent: number, token: number): Promise<PaceReply>;
   /**
    * Extends the lease to `leaseUntilMs` of the worker's clock (0 to leave it), acknowledges ends up to
    * `acknowledgedEnd`, and waits up to `waitMs` for another end.
