Find the owner through other processes

Change: replies to offers name the newest claim and the known addresses; a process whose replica is older than 0.5 s asks two others at a time, and follows the owner that they name.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -181,6 +181,25 @@
   expect(cell.violations()).toEqual([]);
 });
 
+// Load pattern: the store turns away the owner and another process together (incident inc-14d5). Guards
+// against clients of the other one that are refused for as long as it cannot read who took over.
+test('serves clients of a process that the store turns away together with the owner', async () => {
+  const cell = await startCell(14);
+  const owner = cell.ownerName() ?? '';
+  const [other = '', third = ''] = ['p0', 'p1', 'p2'].filter((name) => name !== owner);
+  cell.store.faultFor = (caller) =>
+    caller === owner || caller === other ? CallFault.refused : CallFault.none;
+  await cell.run(2_500);
+  expect(cell.ownerName()).toEqual(third);
+  const submitted = [1, 2, 3].map((number) => cell.submit(makeJob(number), other));
+  await cell.run(1_500);
+  expect(await Promise.all(submitted)).toEqual(['accepted', 'accepted', 'accepted']);
+  expect(cell.processes.find(({ name }) => name === other)?.process.isReady()).toEqual(true);
+  await cell.run(3_000);
+  expect(cell.unfinished()).toEqual([]);
+  expect(cell.violations()).toEqual([]);
+});
+
 // Guards against starts that stall for a second while waiting reads hear nothing (dropped history).
 test('goes on while waiting reads hear nothing', async () => {
   const cell = await startCell(13);
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -18,6 +18,7 @@
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import { isAdvice } from './is-advice.js';
 import { OwnerFeed } from './owner-feed.js';
+import { OwnerFinder } from './owner-finder.js';
 import { OwnerTerm } from './owner-term.js';
 import { PeerService } from './peer-service.js';
 import { MachineRanking } from './machine-ranking.js';
@@ -73,6 +74,8 @@
 const RELAY_STORE_SILENT_MS = 600;
 /** An owner whose replica is older than this in ms vouches for nothing: it may have been replaced. */
 const FEED_AGE_MS = 600;
+/** A process whose replica is older than this in ms asks others who owns the cell. */
+const SEARCH_AGE_MS = 500;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
 const READY_AGE_MS = 900;
 
@@ -95,12 +98,14 @@
   /** Name of this life of the process. */
   private readonly self: string;
   private readonly ranking: MachineRanking;
+  private readonly finder: OwnerFinder;
   private mayYieldFromMs = 0;
 
   private constructor(private readonly options: Options) {
     const { clock, log, store, topics, name, incarnation } = options;
     this.self = `${name}/${incarnation}`;
     this.ranking = MachineRanking.create(clock, options.cores);
+    this.finder = OwnerFinder.create({ peers: options.peers, ownAddress: options.peerAddress });
     const { self } = this;
     this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
     const feed = OwnerFeed.create({
@@ -108,7 +113,7 @@
       log,
       store,
       peers: options.peers,
-      ownerAddress: () => (this.ownership.isOwnerAlive() ? this.ownerAddress() : undefined),
+      ownerAddress: () => this.feedAddress(),
     });
     this.replica = CellReplica.create({
       clock,
@@ -337,6 +342,7 @@
       if (this.isStopping) return;
       void this.callOwner();
       void this.yieldToLarger();
+      if (this.replica.ageMs() > SEARCH_AGE_MS) void this.finder.search();
       this.offerHelp();
     });
   }
@@ -344,7 +350,7 @@
   /** Offers help to the owner, and notices when its process was replaced by another life. */
   private async callOwner(): Promise<void> {
     const { peers, peerAddress } = this.options;
-    const { claim } = this.replica.state;
+    const claim = this.finder.newest(this.replica.state.claim);
     if (claim === undefined || claim.address === peerAddress) {
       if (claim !== undefined && claim.owner !== this.self)
         this.ownership.suspect(claim.owner, 'replaced');
@@ -356,6 +362,8 @@
     const reply = await peers.call(claim.address, 'offer-help', offer, OFFER_TIMEOUT_MS);
     if (reply.isErr) return;
     this.ranking.largestReported(reply.value.largestCores);
+    this.finder.heardOf(reply.value.peers);
+    this.finder.heardClaim(reply.value.claim);
     if (reply.value.life !== claim.owner) this.ownership.suspect(claim.owner, 'replaced');
     else if (reply.value.storeSilentMs > OWNER_STORE_SILENT_MS)
       this.ownership.suspect(claim.owner, 'turned-away');
@@ -370,6 +378,7 @@
   ): PeerCallMap['offer-help']['reply'] {
     const { address, cores } = offer;
     this.ranking.heardOf(address, cores);
+    this.finder.heardOf([address]);
     this.term?.helperSeen(address, (step, workers, timeoutMs) =>
       this.askHelper(address, step, workers, timeoutMs),
     );
@@ -377,6 +386,8 @@
       life: this.self,
       storeSilentMs: this.storeSilentMs(),
       largestCores: this.ranking.largest(),
+      peers: this.finder.addresses(),
+      claim: this.namedClaim(),
     };
   }
 
@@ -400,9 +411,23 @@
     return { end: replica.state.nextOffset, records };
   }
 
+  /** The newest claim that this process knows, for those that cannot read it themselves. */
+  private namedClaim(): PeerCallMap['offer-help']['reply']['claim'] {
+    const claim = this.finder.newest(this.replica.state.claim);
+    if (claim === undefined) return null;
+    const { owner, address, token } = claim;
+    return { owner, address, token };
+  }
+
+  /** Address of the process to follow: an owner that renews its claim, or one that others named. */
+  private feedAddress(): string | undefined {
+    const isNamed = this.finder.isAhead(this.replica.state.claim);
+    return isNamed || this.ownership.isOwnerAlive() ? this.ownerAddress() : undefined;
+  }
+
   /** Address of the owner when it is another process. */
   private ownerAddress(): string | undefined {
-    const address = this.replica.state.claim?.address;
+    const address = this.finder.newest(this.replica.state.claim)?.address;
     return address === this.options.peerAddress ? undefined : address;
   }
 
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -53,10 +53,16 @@
   'offer-help': {
     request: { address: string; cores: number };
     /**
-     * `life`: name and incarnation of the process that replies; time since the store answered it; cores
-     * of the largest machine that it knows.
+     * `life`: name and incarnation of the process that replies; time for which the store has owed it an
+     * answer; cores of the largest machine, addresses and newest claim that it knows.
      */
-    reply: { life: string; storeSilentMs: number; largestCores: number };
+    reply: {
+      life: string;
+      storeSilentMs: number;
+      largestCores: number;
+      peers: readonly string[];
+      claim: { owner: string; address: string; token: number } | null;
+    };
   };
   /** Sent by a process that the store turns away: the receiver appends the record in its place. */
   'relay-record': { request: { data: Uint8Array }; reply: { outcome: string } };
