Plan only what changed between two rounds

Cause: every planning round walked every task of every job and every run of every worker, and tried every worker for every waiting task.

Change: ready steps are kept by job and refreshed when a record of the job was applied; used room is kept by worker; a step looks at the workers that its advice allows; lists of eligible workers are made once a round for each kind of step; the earliest time of a gang is found by counting places instead of placing it after each end; a round chooses workers to name only for calls that can go out.

Ruled out: fewer rounds, which only moves the wait.

--- /dev/null
+++ b/packages/bench/src/plan/create-loaded-cell.ts
@@ -0,0 +1,102 @@
+import { changeRoom } from '@acaciahoist/cell-planner/change-room';
+import type { PlannedRun } from '@acaciahoist/cell-planner/planned-run';
+import type { PlannedWorker } from '@acaciahoist/cell-planner/planned-worker';
+import type { ReadyStep } from '@acaciahoist/cell-planner/ready-step';
+import { plainStep } from '@acaciahoist/cell-types/plain-step';
+import { Random } from '@acaciahoist/random';
+
+/** Most runs on a worker; together they take nine tenths of its processors. */
+const RUNS_PER_WORKER = 10;
+const TASKS_PER_STEP = 16;
+/** Workers that a call for advice names. */
+const NAMED = 100;
+/** Share of the named workers that a step may run on. */
+const ALLOWED_SHARE = 0.35;
+const WORKERS_PER_RACK = 12;
+const TOTAL = { millicores: 32_000, memoryMib: 65_536, accelerators: 0 } as const;
+
+/** A cell at nine tenths of its capacity with steps that wait, a third of them gangs. */
+export function createLoadedCell(options: { workers: number; steps: number; seed: number }): {
+  workers: () => PlannedWorker[];
+  steps: readonly ReadyStep[];
+} {
+  const random = Random.create(options.seed);
+  const templates = Array.from({ length: options.workers }, (_, number) =>
+    createWorker(number, random),
+  );
+  const ids = templates.map(({ id }) => id);
+  const steps = Array.from({ length: options.steps }, (_, number) =>
+    createStep(number, ids, random),
+  );
+  return {
+    steps,
+    workers: () => templates.map((worker) => ({ ...worker, free: { ...worker.free } })),
+  };
+}
+
+function createWorker(number: number, random: Random): PlannedWorker {
+  const free = { ...TOTAL };
+  const runs: PlannedRun[] = [];
+  for (let run = 0; run < RUNS_PER_WORKER; run += 1) {
+    const size = {
+      millicores: random.integer(1_500, 4_200),
+      memoryMib: random.integer(2_000, 5_500),
+      accelerators: 0,
+    };
+    changeRoom(free, size, -1);
+    runs.push({ endsInMs: random.integer(10, 8_000), size });
+  }
+  return {
+    id: `worker-${String(number).padStart(5, '0')}`,
+    service: 'work',
+    rack: `rack-${Math.floor(number / WORKERS_PER_RACK)}`,
+    labels: [],
+    total: TOTAL,
+    free,
+    listRuns: () => runs,
+    startable: true,
+    probation: false,
+  };
+}
+
+function createStep(number: number, workers: readonly string[], random: Random): ReadyStep {
+  const named = Array.from(
+    { length: NAMED },
+    () => workers[random.integer(0, workers.length - 1)] ?? '',
+  );
+  const allowed = named.filter(() => random.next() < ALLOWED_SHARE);
+  const estimateMs = random.integer(500, 6_000);
+  const gang = number % 3 === 0;
+  return {
+    key: `${number.toString(16).padStart(16, '0')}.0.0`,
+    queue: {
+      name: 'work',
+      service: 'work',
+      priority: number % 2,
+      maxAttempts: 2,
+      stretch: 2,
+      baseMs: 1_000,
+      advice: { decisionMs: 100, perWorkerMs: 1, ticketMs: 2_000 },
+    },
+    step: {
+      ...plainStep,
+      count: TASKS_PER_STEP,
+      millicores: random.integer(2_000, 9_000),
+      memoryMib: random.integer(2_000, 9_000),
+      estimateMs,
+      gang,
+    },
+    waiting: Array.from({ length: TASKS_PER_STEP }, (_, index) => index),
+    placedOn: new Map(),
+    failedOn: new Map(),
+    sinceMs: -random.integer(0, 10_000),
+    objectiveMs: random.integer(500, 12_000),
+    remainingMs: estimateMs,
+    advice: {
+      allowed: new Map(allowed.map((id) => [id, random.integer(100, 2_000)])),
+      denied: new Set(named.filter((id) => !allowed.includes(id))),
+      isAsked: random.next() < 0.2,
+      isKnown: true,
+    },
+  };
+}
--- a/packages/cell-owner/src/advice-desk.ts
+++ b/packages/cell-owner/src/advice-desk.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { Advice } from '@acaciahoist/cell-types/advice';
+import type { AskBudget } from '@acaciahoist/cell-planner/ask-budget';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 
 interface Lane {
@@ -46,6 +47,14 @@
     return this.lanes.length;
   }
 
+  /** Calls that can go out now, for prompt steps and for others. */
+  freeLanes(): AskBudget {
+    const { all, others } = this.liveLanes();
+    const countFree = (lanes: readonly Lane[]): number =>
+      lanes.reduce((count, lane) => count + (lane.isBusy ? 0 : 1), 0);
+    return { prompt: countFree(all), other: countFree(others) };
+  }
+
   /** Asks through a free lane; undefined when none is free for this kind of step. */
   tryAsk(
     step: string,
@@ -72,10 +81,15 @@
   }
 
   private freeLane(isPrompt: boolean): Lane | undefined {
+    const { all, others } = this.liveLanes();
+    return (isPrompt ? all : others).find((lane) => !lane.isBusy);
+  }
+
+  /** Lanes that were heard of lately, and those among them that are not kept for prompt steps. */
+  private liveLanes(): { all: readonly Lane[]; others: readonly Lane[] } {
     const oldestMs = this.clock.monotonicMs() - HELPER_SILENCE_MS;
-    const live = this.lanes.filter((lane) => lane.seenMs >= oldestMs);
-    const promptLanes = live.length === 1 ? 0 : Math.ceil(live.length / LANES_PER_PROMPT_LANE);
-    const first = isPrompt ? 0 : promptLanes;
-    return live.slice(first).find((lane) => !lane.isBusy);
+    const all = this.lanes.filter((lane) => lane.seenMs >= oldestMs);
+    const promptLanes = all.length === 1 ? 0 : Math.ceil(all.length / LANES_PER_PROMPT_LANE);
+    return { all, others: all.slice(promptLanes) };
   }
 }
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -39,6 +39,8 @@
   onFenced: () => void;
 }
 
+/** The name of a task begins with the id of its job. */
+const JOB_ID_LENGTH = 16;
 /** Jobs of which it is remembered that their end was logged; more only cost a repeated line. */
 const MAX_REPORTED = 10_000;
 
@@ -154,6 +156,7 @@
   /** To be called for every record of the cell log, after it was applied. */
   observe(record: CellRecord, effective: boolean): void {
     if (this.isStopped) return;
+    this.touch(record);
     switch (record.kind) {
       case 'start':
         this.starter.startRecorded(record, effective);
@@ -170,6 +173,13 @@
     if (record.kind !== 'renew') this.loop.request();
   }
 
+  private touch(record: CellRecord): void {
+    if (record.kind === 'job') this.loop.touch(record.job.id);
+    else if (record.kind === 'cancel') this.loop.touch(record.id);
+    else if (record.kind === 'start' || record.kind === 'end')
+      this.loop.touch(record.task.slice(0, JOB_ID_LENGTH));
+  }
+
   describe(): Record<string, unknown> {
     return {
       token: this.options.token,
--- a/packages/cell-owner/src/plan-loop.test.ts
+++ b/packages/cell-owner/src/plan-loop.test.ts
@@ -19,10 +19,9 @@
     },
   };
   const state = CellState.create(1_000);
-  const values = state.jobs.values.bind(state.jobs);
-  state.jobs.values = () => {
+  state.jobs.get = () => {
     nowMs += roundMs;
-    return values();
+    return undefined;
   };
   const context = {
     clock,
@@ -32,6 +31,7 @@
   } as unknown as OwnerContext;
   const own = () => Promise.resolve({ kind: 'busy' } as const);
   const loop = PlanLoop.create(context, AdviceDesk.create({ clock, own }));
+  loop.touch('0000000000000001');
   loop.plan();
   loop.request();
   return pauses;
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -1,15 +1,13 @@
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import { planCell } from '@acaciahoist/cell-planner';
-import { changeRoom } from '@acaciahoist/cell-planner/change-room';
 import type { PlannedWorker } from '@acaciahoist/cell-planner/planned-worker';
 import type { ReadyStep } from '@acaciahoist/cell-planner/ready-step';
 import { sizeOf } from '@acaciahoist/cell-planner/size-of';
 import type { AdviceDesk } from './advice-desk.js';
 import { expectedEnd } from './expected-end.js';
 import { limits } from './limits.js';
-import { listReadySteps } from './list-ready-steps.js';
 import type { OwnerContext } from './owner-context.js';
-import type { RunView } from './run-view.js';
+import { ReadyBoard } from './ready-board.js';
 import type { WorkerLink } from './worker-link.js';
 
 /** Plans starts at bounded intervals, records them and asks for the advice that they need. */
@@ -22,11 +20,23 @@
   private plannedMs = Number.NEGATIVE_INFINITY;
   /** Time in ms that the last round took. */
   private tookMs = 0;
+  private readonly board: ReadyBoard;
 
   private constructor(
     private readonly context: OwnerContext,
     private readonly desk: AdviceDesk,
-  ) {}
+  ) {
+    this.board = ReadyBoard.create({
+      state: context.state,
+      proposedWorker: (task) => context.proposals.workerOf(task),
+      adviceFor: (step) => context.book.get(step),
+    });
+  }
+
+  /** A record of the job was applied. */
+  touch(job: string): void {
+    this.board.touch(job);
+  }
 
   /** Something changed: plans soon. */
   request(): void {
@@ -51,18 +61,12 @@
   }
 
   private planRound(nowMs: number): void {
-    const { clock, state } = this.context;
+    const { clock } = this.context;
     // Decisions made while the log does not take them would be stale when it does.
     if (this.context.proposals.oldestMs(nowMs) > limits.staleProposalMs) return;
-    const steps = listReadySteps({
-      state,
-      wallMs: clock.wallMs(),
-      nowMs,
-      proposedWorker: (task) => this.context.proposals.workerOf(task),
-      adviceFor: (step) => this.context.book.get(step),
-    });
+    const steps = this.board.list({ wallMs: clock.wallMs(), monotonicMs: nowMs });
     if (steps.length === 0) return;
-    const plan = planCell(steps, this.listWorkers(nowMs), nowMs);
+    const plan = planCell(steps, this.listWorkers(nowMs), nowMs, this.desk.freeLanes());
     const byKey = new Map(steps.map((step) => [step.key, step]));
     this.recordStarts(plan.starts, byKey, nowMs);
     for (const ask of plan.asks) {
@@ -72,37 +76,28 @@
   }
 
   private listWorkers(nowMs: number): PlannedWorker[] {
-    const workers = new Map<string, PlannedWorker>();
-    for (const link of this.context.links.values()) {
-      const { entry } = link;
-      const total = {
-        millicores: entry.millicores,
-        memoryMib: entry.memoryMib,
-        accelerators: entry.accelerators,
-      };
-      const free = { ...total };
-      const runs: { endsInMs: number; size: RunView['size'] }[] = [];
-      for (const view of this.context.runs.on(link.id)) {
-        changeRoom(free, view.size, -1);
-        runs.push({ endsInMs: expectedEnd(view, nowMs), size: view.size });
-      }
-      workers.set(link.id, {
-        id: link.id,
+    const { links, runs, proposals, health } = this.context;
+    const workers: PlannedWorker[] = [];
+    for (const link of links.values()) {
+      const { entry, id } = link;
+      const { millicores, memoryMib, accelerators } = entry;
+      const free = { millicores, memoryMib, accelerators };
+      runs.used.takeFrom(free, id);
+      proposals.used.takeFrom(free, id);
+      workers.push({
+        id,
         service: entry.service,
         rack: entry.rack,
         labels: entry.labels,
-        total,
+        total: entry,
         free,
-        runs,
+        listRuns: () =>
+          [...runs.on(id)].map((view) => ({ endsInMs: expectedEnd(view, nowMs), size: view.size })),
         startable: link.isStartable() && this.isFit(link),
-        probation: this.context.health.fitness(link.id) === 'probation',
+        probation: health.fitness(id) === 'probation',
       });
     }
-    for (const start of this.context.proposals.allStarts()) {
-      const worker = workers.get(start.worker);
-      if (worker !== undefined) changeRoom(worker.free, start.size, -1);
-    }
-    return [...workers.values()];
+    return workers;
   }
 
   private isFit(link: WorkerLink): boolean {
@@ -128,6 +123,7 @@
       const run = (step.step.gang ? highest : found.task.run) + 1;
       const size = sizeOf(step.step);
       this.context.proposals.addStart(task, { worker, run, size, decidedMs: nowMs });
+      this.board.touch(found.progress.job.id);
       records.push({ kind: 'start', task, run, worker });
       perStep.set(key, [...(perStep.get(key) ?? []), worker]);
     }
--- a/packages/cell-owner/src/proposals.ts
+++ b/packages/cell-owner/src/proposals.ts
@@ -1,4 +1,5 @@
 import type { Room } from '@acaciahoist/cell-planner/room';
+import { UsedRoom } from './used-room.js';
 
 /** A start that was decided and is on its way into the log. */
 interface ProposedStart {
@@ -16,14 +17,20 @@
 
   private readonly starts = new Map<string, ProposedStart>();
   private readonly ends = new Map<string, number>();
+  /** Room that the decided starts take. */
+  readonly used = UsedRoom.create();
 
   addStart(task: string, start: ProposedStart): void {
+    this.takeStart(task);
     this.starts.set(task, start);
+    this.used.add(start.worker, start.size);
   }
 
   takeStart(task: string): ProposedStart | undefined {
     const start = this.starts.get(task);
+    if (start === undefined) return undefined;
     this.starts.delete(task);
+    this.used.remove(start.worker, start.size);
     return start;
   }
 
@@ -31,15 +38,11 @@
     return this.starts.get(task)?.worker;
   }
 
-  allStarts(): IterableIterator<ProposedStart> {
-    return this.starts.values();
-  }
-
   /** Age in ms of the oldest start that has not come back. */
   oldestMs(nowMs: number): number {
-    let oldest = nowMs;
-    for (const start of this.starts.values()) oldest = Math.min(oldest, start.decidedMs);
-    return nowMs - oldest;
+    // Insertion order is the order of decisions.
+    const oldest = this.starts.values().next().value;
+    return oldest === undefined ? 0 : nowMs - oldest.decidedMs;
   }
 
   /** False when the end of this run is on its way already. */
--- a/packages/cell-owner/src/run-table.ts
+++ b/packages/cell-owner/src/run-table.ts
@@ -2,6 +2,7 @@
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { sizeOf } from '@acaciahoist/cell-planner/size-of';
 import type { RunView } from './run-view.js';
+import { UsedRoom } from './used-room.js';
 
 /** The runs that are recorded and have not ended, with what the owner knows of each. */
 export class RunTable {
@@ -14,6 +15,8 @@
 
   private readonly byTask = new Map<string, RunView>();
   private readonly byWorker = new Map<string, Map<string, RunView>>();
+  /** Room that the runs take. */
+  readonly used = UsedRoom.create();
 
   private constructor(private readonly state: CellState) {}
 
@@ -39,12 +42,14 @@
     let runs = this.byWorker.get(view.worker);
     if (runs === undefined) this.byWorker.set(view.worker, (runs = new Map<string, RunView>()));
     runs.set(view.task, view);
+    this.used.add(view.worker, view.size);
   }
 
   remove(task: string): void {
     const view = this.byTask.get(task);
     if (view === undefined) return;
     this.byTask.delete(task);
+    this.used.remove(view.worker, view.size);
     const runs = this.byWorker.get(view.worker);
     runs?.delete(task);
     if (runs?.size === 0) this.byWorker.delete(view.worker);
--- a/packages/cell-planner/src/index.test.ts
+++ b/packages/cell-planner/src/index.test.ts
@@ -24,7 +24,7 @@
 test('keeps room for a gang from tasks that outlast its wait', () => {
   const run = { endsInMs: 500, size: { millicores: 16_000, memoryMib: 0, accelerators: 0 } };
   const half = (): ReturnType<typeof worker> =>
-    worker('w0', { freeMillicores: 16_000, runs: [run] });
+    worker('w0', { freeMillicores: 16_000, listRuns: () => [run] });
   const gang = step('a', { step: { count: 2, millicores: 16_000, gang: true } });
   const long = step('b', {
     objectiveMs: 50_000,
--- a/packages/cell-planner/src/index.ts
+++ b/packages/cell-planner/src/index.ts
@@ -1,4 +1,4 @@
-import { canRunOn } from './can-run-on.js';
+import type { AskBudget } from './ask-budget.js';
 import { chooseNamedWorkers } from './choose-named-workers.js';
 import { fits } from './fits.js';
 import { orderUnderOverload } from './order-under-overload.js';
@@ -12,13 +12,20 @@
 import { RoomLedger } from './room-ledger.js';
 import type { Room } from './room.js';
 import { sizeOf } from './size-of.js';
+import { WorkerIndex } from './worker-index.js';
 
 /** Gangs for which room is kept at the same time; more would leave the cell idle. */
 const MAX_RESERVATIONS = 3;
+/** Searches for a reservation in one round: a gang that finds none would search again in each. */
+const MAX_RESERVATION_SEARCHES = 6;
 /** A ticket must be valid for this long when its start is decided: it is recorded and sent first. */
 const TICKET_MARGIN_MS = 150;
 /** Tickets of a reserved gang are renewed so that they arrive this long before its room. */
 const ASK_AHEAD_MS = 250;
+const UNBOUNDED: AskBudget = {
+  prompt: Number.POSITIVE_INFINITY,
+  other: Number.POSITIVE_INFINITY,
+};
 
 /**
  * Plans the starts of one round and the advice to ask for. Takes the room of the starts away from the
@@ -28,28 +35,26 @@
   steps: readonly ReadyStep[],
   workers: readonly PlannedWorker[],
   nowMs: number,
+  askBudget: AskBudget = UNBOUNDED,
 ): Plan {
-  const startable = workers.filter((worker) => worker.startable);
+  const index = WorkerIndex.create(workers);
   const reservations: Reservation[] = [];
   const starts: { key: string; index: number; worker: string }[] = [];
   const asks: { key: string; workers: readonly string[] }[] = [];
+  const budget = { ...askBudget };
+  let searches = 0;
 
   for (const step of orderUnderOverload(steps, nowMs)) {
     const size = sizeOf(step.step);
-    const eligible = startable.filter((worker) => canRunOn(step, worker));
-    const { advice } = step;
-    if (advice !== undefined && !advice.isKnown) {
-      if (!advice.isAsked) ask(step, size, eligible);
+    if (step.advice?.isKnown === false) {
+      ask(step, size);
       continue;
     }
-    const allowed =
-      advice === undefined ? eligible : eligible.filter((worker) => advice.allowed.has(worker.id));
-    const isTicketed = (worker: PlannedWorker): boolean =>
-      advice === undefined || (advice.allowed.get(worker.id) ?? 0) > nowMs + TICKET_MARGIN_MS;
-    const ticketed = allowed.filter(isTicketed);
+    const allowed = index.allowedFor(step);
+    const ticketed = allowed.filter((worker) => hasTicket(step, worker, nowMs));
     const ledger = RoomLedger.create(reservations, step);
-    if (step.step.gang) planGang(step, size, eligible, allowed, ticketed, ledger);
-    else planTasks(step, size, eligible, allowed, ticketed, ledger);
+    if (step.step.gang) planGang(step, size, allowed, ticketed, ledger);
+    else planTasks(step, size, allowed, ticketed, ledger);
   }
   return {
     starts,
@@ -57,69 +62,101 @@
     reservations: reservations.map(({ key, fitsInMs }) => ({ key, fitsInMs })),
   };
 
-  function ask(step: ReadyStep, size: Room, eligible: readonly PlannedWorker[]): void {
-    const named = chooseNamedWorkers(step, size, eligible);
-    if (named.length > 0) asks.push({ key: step.key, workers: named });
+  function mayAsk(step: ReadyStep): boolean {
+    return step.advice?.isAsked === false && budget[askKindOf(step)] > 0;
+  }
+
+  /** True when the advice service is asked for the step in this round. */
+  function ask(step: ReadyStep, size: Room): boolean {
+    if (!mayAsk(step)) return false;
+    const named = chooseNamedWorkers(step, size, index);
+    if (named.length === 0) return false;
+    budget[askKindOf(step)] -= 1;
+    asks.push({ key: step.key, workers: named });
+    return true;
   }
 
   function planTasks(
     step: ReadyStep,
     size: Room,
-    eligible: readonly PlannedWorker[],
     allowed: readonly PlannedWorker[],
     ticketed: readonly PlannedWorker[],
     ledger: RoomLedger,
   ): void {
     const placed = packTasks(step, size, ticketed, ledger);
     for (const start of placed) starts.push({ key: step.key, ...start });
-    if (placed.length === step.waiting.length || step.advice === undefined) return;
-    const lapsed = allowed.filter((worker) => !ticketed.includes(worker));
-    const wouldFit = [...lapsed, ...listUnnamed(step, eligible)].some((worker) =>
-      fits(ledger.roomFor(worker), size),
+    if (placed.length === step.waiting.length || !mayAsk(step)) return;
+    const hasLapsedRoom = allowed.some(
+      (worker) => !hasTicket(step, worker, nowMs) && fits(ledger.roomFor(worker), size),
     );
-    if (wouldFit && !step.advice.isAsked) ask(step, size, eligible);
+    if (hasLapsedRoom || someUnnamedHasRoom(step, size, ledger)) ask(step, size);
   }
 
   function planGang(
     step: ReadyStep,
     size: Room,
-    eligible: readonly PlannedWorker[],
     allowed: readonly PlannedWorker[],
     ticketed: readonly PlannedWorker[],
     ledger: RoomLedger,
   ): void {
     const placed = placeGang(step, size, ticketed, (worker) => ledger.roomFor(worker));
     if (placed !== undefined) {
+      const byId = new Map(ticketed.map((worker) => [worker.id, worker]));
       for (const start of placed) {
         starts.push({ key: step.key, ...start });
-        const worker = ticketed.find((candidate) => candidate.id === start.worker);
+        const worker = byId.get(start.worker);
         if (worker !== undefined) ledger.take(worker, size);
       }
       return;
     }
-    if (listUnnamed(step, eligible).some((worker) => fits(worker.total, size))) {
-      if (step.advice?.isAsked === false) ask(step, size, eligible);
-    }
-    if (reservations.length >= MAX_RESERVATIONS) return;
+    const isAskedNow = mayAsk(step) && someUnnamedCouldFit(step, size) && ask(step, size);
+    if (reservations.length >= MAX_RESERVATIONS || searches >= MAX_RESERVATION_SEARCHES) return;
+    searches += 1;
     const reservation = reserveGang(step, size, allowed);
     if (reservation === undefined) return;
     reservations.push(reservation);
     const terms = step.queue.advice;
-    if (step.advice === undefined || step.advice.isAsked || terms === undefined) return;
-    if (asks.some((asked) => asked.key === step.key)) return;
+    if (step.advice === undefined || terms === undefined || isAskedNow) return;
     const askMs = terms.decisionMs + terms.perWorkerMs * allowed.length;
     const isLapsing = [...reservation.spare.keys()].some(
       (id) => (step.advice?.allowed.get(id) ?? 0) < nowMs + reservation.fitsInMs + TICKET_MARGIN_MS,
     );
-    if (isLapsing && reservation.fitsInMs <= askMs + ASK_AHEAD_MS) ask(step, size, eligible);
+    if (isLapsing && reservation.fitsInMs <= askMs + ASK_AHEAD_MS) ask(step, size);
   }
+
+  /** True when the advice service was not asked about a worker that has room for a task. */
+  function someUnnamedHasRoom(step: ReadyStep, size: Room, ledger: RoomLedger): boolean {
+    const { advice } = step;
+    if (advice === undefined) return false;
+    for (const worker of index.roomiestFor(step)) {
+      // Room only shrinks in a round: no worker behind this one has more.
+      if (worker.free.millicores < size.millicores) return false;
+      const isNamed = advice.allowed.has(worker.id) || advice.denied.has(worker.id);
+      if (!isNamed && fits(ledger.roomFor(worker), size)) return true;
+    }
+    return false;
+  }
+
+  /** True when the advice service was not asked about a worker that could hold a task when it is empty. */
+  function someUnnamedCouldFit(step: ReadyStep, size: Room): boolean {
+    const { advice } = step;
+    if (advice === undefined) return false;
+    return index
+      .roomiestFor(step)
+      .some(
+        (worker) =>
+          !advice.allowed.has(worker.id) &&
+          !advice.denied.has(worker.id) &&
+          fits(worker.total, size),
+      );
+  }
+}
+
+function askKindOf(step: ReadyStep): keyof AskBudget {
+  return step.queue.priority === 0 ? 'prompt' : 'other';
 }
 
-/** Workers of which the advice service was not asked for this step. */
-function listUnnamed(step: ReadyStep, eligible: readonly PlannedWorker[]): PlannedWorker[] {
-  const { advice } = step;
-  if (advice === undefined) return [];
-  return eligible.filter(
-    (worker) => !advice.allowed.has(worker.id) && !advice.denied.has(worker.id),
-  );
+function hasTicket(step: ReadyStep, worker: PlannedWorker, nowMs: number): boolean {
+  if (step.advice === undefined) return true;
+  return (step.advice.allowed.get(worker.id) ?? 0) > nowMs + TICKET_MARGIN_MS;
 }
--- a/packages/cell-planner/src/pack-tasks.ts
+++ b/packages/cell-planner/src/pack-tasks.ts
@@ -19,28 +19,44 @@
   ledger: RoomLedger,
 ): { index: number; worker: string }[] {
   const placed: { index: number; worker: string }[] = [];
-  const limit = step.step.maxPerWorker;
+  const limit = step.step.maxPerWorker > 0 ? step.step.maxPerWorker : Number.POSITIVE_INFINITY;
   const counts = new Map(step.placedOn);
+  const isOpen = (worker: PlannedWorker): boolean =>
+    (counts.get(worker.id) ?? 0) < limit && fits(ledger.roomFor(worker), size);
+  let best: PlannedWorker | undefined;
   for (const index of step.waiting) {
-    let best: PlannedWorker | undefined;
-    let bestScore = Number.POSITIVE_INFINITY;
-    for (const worker of candidates) {
-      if (step.failedOn.get(index) === worker.id && candidates.length > 1) continue;
-      if (limit > 0 && (counts.get(worker.id) ?? 0) >= limit) continue;
-      if (!fits(ledger.roomFor(worker), size)) continue;
-      const score = scoreOf(step, worker, size);
-      if (score >= bestScore) continue;
-      best = worker;
-      bestScore = score;
-    }
+    const failedOn = candidates.length > 1 ? step.failedOn.get(index) : undefined;
+    // The worker that was best stays best until it is full: the task left even less room there.
+    if (best === undefined || best.id === failedOn || !isOpen(best))
+      best = findBest(step, size, candidates, (worker) => worker.id !== failedOn && isOpen(worker));
     if (best === undefined) break;
     ledger.take(best, size);
     counts.set(best.id, (counts.get(best.id) ?? 0) + 1);
     placed.push({ index, worker: best.id });
+    // The next task may go to the worker on which this one failed.
+    if (failedOn !== undefined) best = undefined;
   }
   return placed;
 }
 
+function findBest(
+  step: ReadyStep,
+  size: Room,
+  candidates: readonly PlannedWorker[],
+  isOpen: (worker: PlannedWorker) => boolean,
+): PlannedWorker | undefined {
+  let best: PlannedWorker | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  for (const worker of candidates) {
+    if (!isOpen(worker)) continue;
+    const score = scoreOf(step, worker, size);
+    if (score >= bestScore) continue;
+    best = worker;
+    bestScore = score;
+  }
+  return best;
+}
+
 /** Share of processors and memory that is left on the worker; less is better. */
 function scoreOf(step: ReadyStep, worker: PlannedWorker, size: Room): number {
   const { free, total } = worker;
--- a/packages/cell-planner/src/planner-fixture.ts
+++ b/packages/cell-planner/src/planner-fixture.ts
@@ -19,7 +19,7 @@
       labels: [],
       total,
       free: { ...total, millicores: freeMillicores ?? total.millicores },
-      runs: [],
+      listRuns: () => [],
       startable: true,
       probation: false,
       ...rest,
--- a/packages/cell-planner/src/reserve-gang.ts
+++ b/packages/cell-planner/src/reserve-gang.ts
@@ -1,4 +1,5 @@
 import { changeRoom } from './change-room.js';
+import { countFitting } from './count-fitting.js';
 import { placeGang } from './place-gang.js';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
@@ -18,28 +19,71 @@
   size: Room,
   candidates: readonly PlannedWorker[],
 ): Reservation | undefined {
-  const later = new Map(candidates.map((worker) => [worker.id, { ...worker.free }]));
-  const roomFor = (worker: PlannedWorker): Room => later.get(worker.id) ?? worker.free;
-  const releases = candidates
-    .flatMap((worker) => worker.runs.map((run) => ({ ...run, worker: worker.id })))
-    .sort((left, right) => left.endsInMs - right.endsInMs);
-  let placed = placeGang(step, size, candidates, roomFor);
+  const later = new Map(candidates.map((worker) => [worker, { ...worker.free }]));
+  const roomFor = (worker: PlannedWorker): Room => later.get(worker) ?? worker.free;
+  const places = GangPlaces.create(step, size, candidates, roomFor);
   let fitsInMs = 0;
-  for (const release of releases) {
-    if (placed !== undefined) break;
-    if (release.endsInMs > HORIZON_MS) return undefined;
-    const room = later.get(release.worker);
-    if (room === undefined) continue;
-    changeRoom(room, release.size, 1);
-    fitsInMs = release.endsInMs;
-    placed = placeGang(step, size, candidates, roomFor);
+  if (!places.suffice()) {
+    const releases = candidates
+      .flatMap((worker) => worker.listRuns().map((run) => ({ run, worker })))
+      .filter(({ run }) => run.endsInMs <= HORIZON_MS)
+      .sort((left, right) => left.run.endsInMs - right.run.endsInMs);
+    for (const { run, worker } of releases) {
+      changeRoom(roomFor(worker), run.size, 1);
+      fitsInMs = run.endsInMs;
+      places.recount(worker);
+      if (places.suffice()) break;
+    }
   }
+  const placed = places.suffice() ? placeGang(step, size, candidates, roomFor) : undefined;
   if (placed === undefined) return undefined;
+  const byId = new Map(candidates.map((worker) => [worker.id, worker]));
   const spare = new Map<string, Room>();
   for (const { worker } of placed) {
-    const room = spare.get(worker) ?? { ...(later.get(worker) as Room) };
+    const found = byId.get(worker);
+    const room = spare.get(worker) ?? { ...(found === undefined ? size : roomFor(found)) };
     changeRoom(room, size, -1);
     spare.set(worker, room);
   }
   return { key: step.key, fitsInMs, spare };
 }
+
+/** How many members of a gang have a place, for each rack where they must share one. */
+class GangPlaces {
+  static create(
+    step: ReadyStep,
+    size: Room,
+    candidates: readonly PlannedWorker[],
+    roomFor: (worker: PlannedWorker) => Room,
+  ): GangPlaces {
+    const places = new GangPlaces(step, size, roomFor);
+    for (const worker of candidates) places.recount(worker);
+    return places;
+  }
+
+  private readonly byWorker = new Map<PlannedWorker, number>();
+  private readonly byRack = new Map<string, number>();
+  private most = 0;
+
+  private constructor(
+    private readonly step: ReadyStep,
+    private readonly size: Room,
+    private readonly roomFor: (worker: PlannedWorker) => Room,
+  ) {}
+
+  /** The room of the worker has grown. */
+  recount(worker: PlannedWorker): void {
+    const { step, waiting } = this.step;
+    const perWorker = step.maxPerWorker > 0 ? step.maxPerWorker : waiting.length;
+    const count = countFitting(this.roomFor(worker), this.size, perWorker);
+    const rack = step.sameRack ? worker.rack : '';
+    const places = (this.byRack.get(rack) ?? 0) + count - (this.byWorker.get(worker) ?? 0);
+    this.byWorker.set(worker, count);
+    this.byRack.set(rack, places);
+    this.most = Math.max(this.most, places);
+  }
+
+  suffice(): boolean {
+    return this.most >= this.step.waiting.length;
+  }
+}
--- /dev/null
+++ b/packages/cell-planner/src/worker-index.ts
@@ -0,0 +1,66 @@
+import { canRunOn } from './can-run-on.js';
+import type { PlannedWorker } from './planned-worker.js';
+import type { ReadyStep } from './ready-step.js';
+
+/**
+ * Startable workers by id and by service. Load pattern: hundreds of waiting steps on hundreds of
+ * workers. A step looks only at the workers that its advice allows, or at those of its service, and
+ * lists of the same kind of step are made once a round.
+ */
+export class WorkerIndex {
+  static create(workers: readonly PlannedWorker[]): WorkerIndex {
+    return new WorkerIndex(workers);
+  }
+
+  private readonly byId = new Map<string, PlannedWorker>();
+  private readonly byKind = new Map<string, readonly PlannedWorker[]>();
+  private readonly byRoom = new Map<string, readonly PlannedWorker[]>();
+  private readonly startable: readonly PlannedWorker[];
+
+  private constructor(workers: readonly PlannedWorker[]) {
+    this.startable = workers.filter((worker) => worker.startable);
+    for (const worker of this.startable) this.byId.set(worker.id, worker);
+  }
+
+  /** Workers that can run tasks of the step, whether its advice allows them or not. */
+  eligibleFor(step: ReadyStep): readonly PlannedWorker[] {
+    const kind = kindOf(step);
+    let eligible = this.byKind.get(kind);
+    if (eligible === undefined) {
+      eligible = this.startable.filter((worker) => canRunOn(step, worker));
+      this.byKind.set(kind, eligible);
+    }
+    return eligible;
+  }
+
+  /** The same, those with the most free processors at the start of the round first. */
+  roomiestFor(step: ReadyStep): readonly PlannedWorker[] {
+    const kind = kindOf(step);
+    let sorted = this.byRoom.get(kind);
+    if (sorted === undefined) {
+      sorted = [...this.eligibleFor(step)].sort(
+        (left, right) =>
+          right.free.millicores - left.free.millicores || (left.id < right.id ? -1 : 1),
+      );
+      this.byRoom.set(kind, sorted);
+    }
+    return sorted;
+  }
+
+  /** Workers that the step may start on, whether their tickets are still valid or not. */
+  allowedFor(step: ReadyStep): readonly PlannedWorker[] {
+    if (step.advice === undefined) return this.eligibleFor(step);
+    const allowed: PlannedWorker[] = [];
+    for (const id of step.advice.allowed.keys()) {
+      const worker = this.byId.get(id);
+      if (worker !== undefined && canRunOn(step, worker)) allowed.push(worker);
+    }
+    return allowed;
+  }
+}
+
+/** Steps of the same kind can run on the same workers as far as advice allows. */
+function kindOf({ queue, step }: ReadyStep): string {
+  const isStrict = queue.priority === 0 || step.gang;
+  return `${queue.service}\n${step.label}\n${isStrict ? 'strict' : ''}`;
+}
