--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -280,6 +280,112 @@
   expect(cell.violations()).toEqual([]);
 });
 
+/** A cell in which the owner and two standbys hold replicas, and five processes do not. */
+async function startLargeCell(seed: number): Promise<EmulatedCell> {
+  const cell = EmulatedCell.create({
+    seed,
+    processes: 8,
+    workers: 4,
+    replicas: { smallCell: 3, standbys: 2 },
+  });
+  await cell.start();
+  await cell.run(7_000);
+  return cell;
+}
+
+function thinNames(cell: EmulatedCell): string[] {
+  return cell.processes
+    .filter(({ isUp, process }) => isUp && !process.holdsReplica())
+    .map(({ name }) => name);
+}
+
+/** Outcome of a job as clients of a process see it. */
+async function shownAt(cell: EmulatedCell, name: string, id: string): Promise<unknown> {
+  const found = cell.processes.find((candidate) => candidate.name === name);
+  const shown = found?.process.front.outcomeOf(id);
+  await cell.run(1_500);
+  const result = await shown;
+  if (result === undefined) return undefined;
+  return result.isOk ? result.value : result.error.kind;
+}
+
+// Load pattern: a hundred processes. Guards against a copy of the log in each of them, and against
+// clients that are served worse by a process without one.
+test('serves clients of processes without a replica', async () => {
+  const cell = await startLargeCell(30);
+  const thin = thinNames(cell);
+  expect(thin.length).toEqual(5);
+  const [first = '', second = ''] = thin;
+  const job = makeJob(1, [{ estimateMs: 2_000 }]);
+  const submitted = cell.submit(job, first);
+  await cell.run(200);
+  expect(await submitted).toEqual('accepted');
+  expect(await shownAt(cell, second, job.id)).toEqual('running');
+  await cell.run(2_000);
+  expect(await shownAt(cell, first, job.id)).toEqual('completed');
+  expect(await shownAt(cell, second, makeJob(9).id)).toEqual('unknown-job');
+  const cancelled = makeJob(2, [{ estimateMs: 9_000 }]);
+  const handedIn = cell.submit(cancelled, second);
+  await cell.run(200);
+  expect(await handedIn).toEqual('accepted');
+  const cancel = cell.cancel(cancelled.id, first);
+  await cell.run(500);
+  expect(await cancel).toEqual(true);
+  expect(await shownAt(cell, second, cancelled.id)).toEqual('cancelled');
+  expect(cell.violations()).toEqual([]);
+});
+
+// Guards against a cell that nobody can own because the owner and all standbys died together.
+test('takes over without any replica left', async () => {
+  const cell = await startLargeCell(31);
+  const thin = thinNames(cell);
+  const submitted = cell.submit(makeJob(1, [{ count: 6, estimateMs: 6_000 }]), thin[0] ?? '');
+  await cell.run(600);
+  expect(await submitted).toEqual('accepted');
+  for (const { name } of cell.processes) if (!thin.includes(name)) cell.kill(name);
+  const killedMs = cell.clock.monotonicMs();
+  while (cell.ownerName() === undefined && cell.clock.monotonicMs() < killedMs + 10_000)
+    await cell.run(50);
+  expect(cell.clock.monotonicMs() - killedMs).toBeLessThan(4_000);
+  await cell.run(9_000);
+  expect(cell.violations()).toEqual([]);
+  expect(cell.unfinished()).toEqual([]);
+  expect(cell.history.filter((event) => event.kind === 'started').length).toEqual(6);
+  expect(thinNames(cell).length).toEqual(2);
+});
+
+// Guards against clients of a process without a replica that are refused while it finds a new owner.
+test('serves clients of processes without a replica through a take-over', async () => {
+  const cell = await startLargeCell(32);
+  const thin = thinNames(cell);
+  cell.kill(cell.ownerName() ?? '');
+  const submitted: Promise<string>[] = [];
+  for (let number = 1; number <= 20; number += 1) {
+    submitted.push(cell.submit(makeJob(number), thin[number % thin.length] ?? ''));
+    await cell.run(100);
+  }
+  await cell.run(3_000);
+  expect((await Promise.all(submitted)).filter((answer) => answer !== 'accepted')).toEqual([]);
+  await cell.run(3_000);
+  expect(cell.unfinished()).toEqual([]);
+  expect(cell.violations()).toEqual([]);
+});
+
+// Guards against a process that starts beside a cell that lives and disturbs it, or stays alone.
+test('joins a living cell without a replica', async () => {
+  const cell = await startLargeCell(33);
+  const owner = cell.ownerName();
+  const [name = ''] = thinNames(cell);
+  cell.kill(name);
+  await cell.run(500);
+  await cell.boot(name);
+  await cell.run(600);
+  expect(cell.processes.find((found) => found.name === name)?.process.isReady()).toEqual(true);
+  await cell.run(4_000);
+  expect(cell.ownerName()).toEqual(owner);
+  expect(thinNames(cell).length).toEqual(5);
+});
+
 const fault = fc.record({
   atMs: fc.integer({ min: 0, max: 12_000 }),
   forMs: fc.integer({ min: 200, max: 6_000 }),
@@ -379,8 +485,12 @@
 }
 
 /** Runs a load with faults; returns what was broken. */
-async function play(seed: number, faults: readonly Fault[]): Promise<string[]> {
-  const cell = await startCell(seed);
+async function play(
+  seed: number,
+  faults: readonly Fault[],
+  start: (seed: number) => Promise<EmulatedCell> = startCell,
+): Promise<string[]> {
+  const cell = await start(seed);
   const actions: { atMs: number; run: () => void }[] = [];
   for (let number = 1; number <= 24; number += 1) {
     const isGang = number % 3 === 0;
@@ -396,7 +506,7 @@
       ],
       { advised: number % 4 === 0, payload: number % 5 === 0 ? 'flaky' : 'plain' },
     );
-    const at = `p${number % 3}`;
+    const at = `p${number % cell.processes.length}`;
     actions.push({ atMs: number * 450, run: () => void cell.submit(job, at) });
   }
   const heals: { atMs: number; run: () => void }[] = [];
@@ -444,3 +554,19 @@
     { numRuns: runs, seed, endOnFailure: true },
   );
 });
+
+// The same for a large cell, in which most processes hold no replica.
+test('keeps its promises under random faults without replicas in most processes', async () => {
+  const runs = Number(process.env.CELL_RUNS ?? 6);
+  const seed = Number(process.env.CELL_SEED ?? 20261204);
+  await fc.assert(
+    fc.asyncProperty(
+      fc.integer({ min: 1, max: 1_000_000 }),
+      fc.array(fault, { maxLength: 4 }),
+      async (random, faults) => {
+        expect(await play(random, faults, startLargeCell)).toEqual([]);
+      },
+    ),
+    { numRuns: runs, seed, endOnFailure: true },
+  );
+});
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -32,6 +32,8 @@
   workers: number;
   /** Cores of processes by name; 1 for those that are not named. */
   cores?: Readonly<Record<string, number>>;
+  /** Which processes hold a replica; all of them in a small cell. */
+  replicas?: { smallCell: number; standbys: number };
 }
 
 /** A whole cell on a manual clock: processes, store, workers and advice, with faults from a test. */
@@ -133,6 +135,7 @@
       topics: {
         cell: 'cell',
         snapshots: 'keyed.cell',
+        hints: 'keyed.owner',
         configuration: 'keyed.op',
         workers: 'keyed.servers',
       },
@@ -141,6 +144,8 @@
       ownerSilenceMs: 1_000,
       claimJitterMs: this.random.integer(0, 300 - 1),
       cores: this.options.cores?.[name] ?? 1,
+      dataCentre: `d${Number(name.slice(1)) % 3}`,
+      replicas: this.options.replicas ?? { smallCell: 12, standbys: 4 },
       decodeConfiguration: (data) =>
         JSON.parse(Buffer.from(data).toString()) as ReturnType<
           Parameters<typeof CellProcess.create>[0]['decodeConfiguration']
@@ -206,7 +211,7 @@
 
   /** Accepted jobs that a process does not show as ended. */
   unfinished(): string[] {
-    const reader = this.processes.find(({ isUp }) => isUp);
+    const reader = this.processes.find(({ isUp, process }) => isUp && process.holdsReplica());
     return [...this.accepted].filter((id) => {
       const outcome = reader?.process.outcomeOf(id);
       return outcome === undefined || outcome === 'queued' || outcome === 'running';
--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -5,6 +5,7 @@
 import { CellState } from '@acaciahoist/cell-state';
 import type { CellJob } from '@acaciahoist/cell-types';
 import { CellFront } from './index.js';
+import type { RemoteOutcome } from './remote-outcome.js';
 
 const job: CellJob = {
   id: '00000000000000aa',
@@ -22,7 +23,10 @@
   storeSilentMs?: number;
   synced?: boolean;
   relayAppend?: () => Promise<'appended' | 'refused' | 'unknown'>;
-  relayOutcome?: 'completed';
+  asked?: RemoteOutcome;
+  heardPending?: number;
+  /** True for a process without a replica. */
+  isThin?: boolean;
 }
 
 function create(setup: Setup): { front: CellFront; clock: ManualClock; state: CellState } {
@@ -32,12 +36,15 @@
     clock,
     log: () => undefined,
     count: () => undefined,
-    state: () => state,
+    state: () => (setup.isThin === true ? undefined : state),
     replicaAgeMs: () => Number.POSITIVE_INFINITY,
     storeSilentMs: () => setup.storeSilentMs ?? 0,
     sync: () => Promise.resolve(setup.synced ?? true),
     relayAppend: setup.relayAppend ?? ((): Promise<'refused'> => Promise.resolve('refused')),
-    relayOutcome: () => Promise.resolve(setup.relayOutcome),
+    relayThroughStandby: () => Promise.resolve('refused'),
+    askOutcome: () => Promise.resolve(setup.asked),
+    heardPending: () => setup.heardPending,
+    retentionMs: 120_000,
     append: setup.append ?? ((): Promise<'appended'> => Promise.resolve('appended')),
   });
   return { front, clock, state };
@@ -129,7 +136,7 @@
 
 // Guards against a job that is shown as running for as long as this process is cut off.
 test('asks the owner for the state when the replica is behind', async () => {
-  const { front, state } = create({ relayOutcome: 'completed' });
+  const { front, state } = create({ asked: { kind: 'known', outcome: 'completed' } });
   state.apply({ kind: 'job', job });
   const outcome = await front.outcomeOf(job.id);
   expect(outcome.isOk && outcome.value).toEqual('completed');
@@ -186,3 +193,38 @@
     ErrorKind.logUnavailable,
   );
 });
+
+// Load pattern: most processes of a large cell hold no replica. Guards against "no such job" from a
+// process that has not asked, and against questions about jobs whose outcome is final.
+test('answers without a replica from what others say', async () => {
+  const setup: Setup = { isThin: true, asked: { kind: 'known', outcome: 'running' } };
+  const { front } = create(setup);
+  const running = await front.outcomeOf(job.id);
+  expect(running.isOk && running.value).toEqual('running');
+  setup.asked = { kind: 'known', outcome: 'failed' };
+  await front.outcomeOf(job.id);
+  setup.asked = { kind: 'absent' };
+  const ended = await front.outcomeOf(job.id);
+  expect(ended.isOk && ended.value).toEqual('failed');
+  const absent = await front.outcomeOf('00000000000000bb');
+  expect(absent.isErr && absent.error.kind).toEqual(ErrorKind.unknownJob);
+  delete setup.asked;
+  const open = await front.outcomeOf('00000000000000bb');
+  expect(open.isErr && open.error.kind).toEqual(ErrorKind.logUnavailable);
+});
+
+// Guards against an accepted job that is denied because the process that was asked has not read it yet.
+test('knows a job that it accepted without a replica', async () => {
+  const setup: Setup = { isThin: true, asked: { kind: 'absent' } };
+  const { front, clock } = create(setup);
+  expect((await front.submit(job, 1_000)).isOk).toEqual(true);
+  clock.advance(1_000);
+  const outcome = await front.outcomeOf(job.id);
+  expect(outcome.isOk && outcome.value).toEqual('queued');
+});
+
+// Guards against counts of waiting jobs that are older than clients may be told.
+test('counts waiting jobs without a replica only as long as others told lately', () => {
+  expect(create({ isThin: true, heardPending: 7 }).front.pendingOf('q')).toEqual(7);
+  expect(create({ isThin: true }).front.pendingOf('q')).toEqual(undefined);
+});
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -8,13 +8,16 @@
 import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
 import type { CellState } from '@acaciahoist/cell-state';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import { RecentMap } from './recent-map.js';
+import type { RemoteOutcome } from './remote-outcome.js';
 import { storeRecord } from './store-record.js';
 
 interface Options {
   clock: Clock;
   log: EventLog;
   count: (name: string, by?: number) => void;
-  state: () => CellState;
+  /** The own replica; undefined while this process holds none. */
+  state: () => CellState | undefined;
   /** Age in ms of what the replica knows. */
   replicaAgeMs: () => number;
   /** Time in ms since the store last answered. */
@@ -24,7 +27,14 @@
   append: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
   /** Reaches the store through another process; `refused` when that does not work either. */
   relayAppend: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
-  relayOutcome: (id: string) => Promise<JobOutcome | undefined>;
+  /** Appends through a process that is not the owner. */
+  relayThroughStandby: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
+  /** Asks other processes for a job; undefined when none of them can say. */
+  askOutcome: (id: string) => Promise<RemoteOutcome | undefined>;
+  /** Waiting jobs of a queue as another process counted them; undefined when that was not heard lately. */
+  heardPending: (queue: string) => number | undefined;
+  /** How long ended jobs are remembered, in ms. */
+  retentionMs: number;
 }
 
 /** A store that owes an answer for this long in ms is away: requests are refused at once. A slow one takes 400. */
@@ -35,8 +45,15 @@
 const MIN_HEDGE_MS = 250;
 const MAX_HEDGE_MS = 900;
 const HEDGE_FACTOR = 2;
+/** Counts of waiting jobs older than this in ms are taken from others that have newer ones. */
+const PENDING_AGE_MS = 1_500;
 /** Longest time in ms that an answer waits for the replica to catch up. */
 const SYNC_MS = 1_000;
+/** Jobs that are remembered as accepted or ended here; more only cost a question to another process. */
+const MAX_REMEMBERED = 10_000;
+/** A job that was accepted this short a time ago in ms has not ended; nobody is asked. */
+const JUST_ACCEPTED_MS = 150;
+const ENDED: ReadonlySet<JobOutcome> = new Set(['completed', 'failed', 'cancelled']);
 
 /** Accepts, shows and cancels jobs on behalf of clients. A job is accepted once it is in the log. */
 export class CellFront {
@@ -46,13 +63,20 @@
 
   /** Submissions in flight by job, so that a repeated one waits for the first. */
   private readonly inFlight = new Map<string, Promise<Result<Unit, Failure>>>();
-  /** Jobs that were accepted here and that the replica has not read yet. */
-  private readonly accepted = new Set<string>();
+  /** Jobs that were accepted here and that the replica, if there is one, has not read yet. */
+  private readonly accepted: RecentMap<true>;
+  /** Outcomes that other processes told; an ended job stays as it is. */
+  private readonly ended: RecentMap<JobOutcome>;
 
   /** Time in ms that the newest record took to be stored. */
   private storedMs = 0;
 
-  private constructor(private readonly options: Options) {}
+  private constructor(private readonly options: Options) {
+    const { clock, retentionMs } = options;
+    const bounds = { clock, maxAgeMs: retentionMs, maxSize: MAX_REMEMBERED };
+    this.accepted = RecentMap.create(bounds);
+    this.ended = RecentMap.create(bounds);
+  }
 
   /**
    * Accepts a job. Fails with `log-unavailable` when the job is not accepted and never runs, and with
@@ -67,24 +91,43 @@
 
   /** State of a job. Fails with `unknown-job`, or with `log-unavailable` when that cannot be known. */
   async outcomeOf(id: string): Promise<Result<JobOutcome, Failure>> {
-    const known = this.options.state().outcomeOf(id) ?? this.overlay(id);
-    const mayHaveEnded = known === undefined || known === 'queued' || known === 'running';
+    const state = this.options.state();
+    if (state === undefined) return this.askedOutcome(id);
+    const known = state.outcomeOf(id) ?? this.overlay(id);
+    const mayHaveEnded = known === undefined || !ENDED.has(known);
     if (mayHaveEnded && this.options.replicaAgeMs() > REPLICA_BEHIND_MS) {
-      const relayed = await this.options.relayOutcome(id);
-      if (relayed !== undefined) return Result.ok(relayed);
+      const answer = await this.options.askOutcome(id);
+      if (answer?.kind === 'known') return Result.ok(answer.outcome);
     }
     if (known !== undefined) return Result.ok(known);
     const isCurrent = await this.options.sync(SYNC_MS);
-    const found = this.options.state().outcomeOf(id) ?? this.overlay(id);
+    const found = this.options.state()?.outcomeOf(id) ?? this.overlay(id);
     if (found !== undefined) return Result.ok(found);
     return Result.err(isCurrent ? unknownJob(id) : this.unavailable(`job ${id} is not known here`));
   }
 
+  /** The outcome without a replica of one's own. */
+  private async askedOutcome(id: string): Promise<Result<JobOutcome, Failure>> {
+    const ended = this.ended.get(id);
+    if (ended !== undefined) return Result.ok(ended);
+    if (this.accepted.ageMs(id) < JUST_ACCEPTED_MS) return Result.ok('queued');
+    const answer = await this.options.askOutcome(id);
+    if (answer?.kind === 'known') {
+      if (ENDED.has(answer.outcome)) this.ended.set(id, answer.outcome);
+      return Result.ok(answer.outcome);
+    }
+    const accepted = this.overlay(id);
+    if (accepted !== undefined) return Result.ok(accepted);
+    return Result.err(
+      answer === undefined ? this.unavailable(`job ${id} is not known here`) : unknownJob(id),
+    );
+  }
+
   /** Cancels a job; a job that has ended stays as it is. Fails like `outcomeOf` and `submit`. */
   async cancel(id: string, timeoutMs: number): Promise<Result<Unit, Failure>> {
     const outcome = await this.outcomeOf(id);
     if (outcome.isErr) return Result.err(outcome.error);
-    if (this.options.state().ended.has(id)) return Result.ok();
+    if (ENDED.has(outcome.value)) return Result.ok();
     const cancelled = this.store({ kind: 'cancel', id }).then((result) => {
       if (result === 'appended') return Result.ok();
       return Result.err(
@@ -98,9 +141,12 @@
     return result;
   }
 
-  /** Accepted jobs of a queue for which no task has started. */
-  pendingOf(queue: string): number {
-    return this.options.state().pendingOf(queue);
+  /** Accepted jobs of a queue for which no task has started; undefined when that is not known. */
+  pendingOf(queue: string): number | undefined {
+    const state = this.options.state();
+    if (state === undefined || this.options.replicaAgeMs() > PENDING_AGE_MS)
+      return this.options.heardPending(queue) ?? state?.pendingOf(queue);
+    return state.pendingOf(queue);
   }
 
   /** To be called for every job record that the replica applied. */
@@ -113,13 +159,14 @@
    * and a store that is slow or busy takes few appends.
    */
   private async store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
-    const { clock, append, relayAppend } = this.options;
+    const { clock, append, relayAppend, relayThroughStandby } = this.options;
     const sentMs = clock.monotonicMs();
     const direct = (): ReturnType<typeof append> => append(record);
     const relay = (): ReturnType<typeof append> => relayAppend(record);
+    const detour = (): ReturnType<typeof append> => relayThroughStandby(record);
     const outcome = await storeRecord({
       clock,
-      ways: this.isStoreAway() ? [relay] : [relay, direct],
+      ways: this.isStoreAway() ? [relay, detour] : [relay, direct, detour],
       hedgeMs: Math.min(MAX_HEDGE_MS, Math.max(MIN_HEDGE_MS, HEDGE_FACTOR * this.storedMs)),
     });
     if (outcome === 'appended') this.storedMs = clock.monotonicMs() - sentMs;
@@ -130,7 +177,7 @@
     const submission = this.store({ kind: 'job', job }).then((result) => {
       this.inFlight.delete(job.id);
       if (result === 'appended') {
-        if (!this.isKnown(job.id)) this.accepted.add(job.id);
+        if (!this.isKnown(job.id)) this.accepted.set(job.id, true);
         this.options.log('info', 'job-accepted', {
           job: job.id,
           queue: job.queue.name,
@@ -165,7 +212,7 @@
   }
 
   private isKnown(id: string): boolean {
-    return this.options.state().outcomeOf(id) !== undefined || this.accepted.has(id);
+    return this.options.state()?.outcomeOf(id) !== undefined || this.accepted.has(id);
   }
 
   private overlay(id: string): JobOutcome | undefined {
--- a/packages/cell-log/src/index.ts
+++ b/packages/cell-log/src/index.ts
@@ -51,6 +51,8 @@
   private readonly appended = new Map<number, readonly Uint8Array[]>();
   private readonly recent = RecentRecords.create();
   private waiters: { offset: number; resolve: (reached: boolean) => void }[] = [];
+  private isFollowing = true;
+  private wake: () => void = () => undefined;
 
   private constructor(private readonly options: Options) {
     this.state = CellState.create(options.retentionMs);
@@ -63,17 +65,40 @@
 
   /** Loads the snapshot and follows the log until `stop`. */
   async run(): Promise<void> {
-    await this.load();
     while (!this.isStopped) {
+      if (!this.isFollowing) {
+        await new Promise<void>((resolve) => (this.wake = resolve));
+        continue;
+      }
+      if (!this.isLoaded) {
+        await this.load(0);
+        continue;
+      }
       const sentMs = this.options.clock.monotonicMs();
       const isCaughtUp = await this.readOnce(READ_WAIT_MS);
       const gapMs = this.options.gapMs() - (this.options.clock.monotonicMs() - sentMs);
-      if (isCaughtUp && gapMs > 0) await this.pause(gapMs);
+      if (isCaughtUp && gapMs > 0) await this.pauseFor(gapMs);
     }
   }
 
   stop(): void {
     this.isStopped = true;
+    this.wake();
+  }
+
+  /** Begins to follow the log, from a snapshot. */
+  resume(): void {
+    if (this.isFollowing) return;
+    this.isFollowing = true;
+    this.wake();
+  }
+
+  /** Stops following: the replica is out of date from now on, and says so. */
+  pause(): void {
+    this.isFollowing = false;
+    this.isLoaded = false;
+    this.currentAsOfMs = Number.NEGATIVE_INFINITY;
+    this.appended.clear();
   }
 
   /**
@@ -125,18 +150,19 @@
     this.isOverdueRead = true;
     this.options.clock.after(OVERDUE_MS, () => {
       this.isOverdueRead = false;
-      if (this.state.nextOffset < end && !this.isStopped) void this.readOnce(0);
+      if (this.state.nextOffset < end && !this.isStopped && this.isLoaded) void this.readOnce(0);
     });
   }
 
-  private async load(): Promise<void> {
+  /** Loads a snapshot, or keeps the state when it is newer than the snapshot and at `minOffset` at least. */
+  private async load(minOffset: number): Promise<void> {
     const { log, retentionMs } = this.options;
-    while (!this.isStopped) {
+    while (!this.isStopped && !this.isPaused()) {
       const state = await this.options.snapshots.read(
         () => CellState.create(retentionMs),
         retentionMs,
       );
-      // An older snapshot than the replica has nothing to add.
+      if (this.isPaused()) return;
       if (state !== undefined && state.nextOffset >= this.state.nextOffset) {
         this.state = state;
         this.isLoaded = true;
@@ -144,7 +170,11 @@
         this.options.onReloaded();
         return;
       }
-      await this.pause(RETRY_MS);
+      if (state !== undefined && this.state.nextOffset >= minOffset) {
+        this.isLoaded = true;
+        return;
+      }
+      await this.pauseFor(RETRY_MS);
     }
   }
 
@@ -153,12 +183,12 @@
     const { follow, topic, log } = this.options;
     const from = this.state.nextOffset;
     const result = await follow(topic, from, waitMs);
-    if (this.isStopped) return true;
+    if (this.isStopped || !this.isLoaded) return true;
     if (result.kind === 'failed') {
       if (!this.isLost)
         log('warn', 'cell-log-lost', { reason: result.reason, ageMs: Math.round(this.ageMs()) });
       this.isLost = true;
-      await this.pause(RETRY_MS);
+      await this.pauseFor(RETRY_MS);
       return true;
     }
     if (this.isLost) log('info', 'cell-log-regained', { offset: this.state.nextOffset });
@@ -208,8 +238,8 @@
   private async skipExpired(first: number): Promise<void> {
     const { log } = this.options;
     log('warn', 'cell-log-expired', { next: this.state.nextOffset, first });
-    await this.load();
-    if (this.state.nextOffset >= first) return;
+    await this.load(first);
+    if (this.state.nextOffset >= first || this.isPaused()) return;
     log('error', 'records-lost', { next: this.state.nextOffset, first });
     this.state.nextOffset = first;
   }
@@ -221,7 +251,12 @@
     for (const waiter of reached) waiter.resolve(true);
   }
 
-  private pause(ms: number): Promise<void> {
+  /** Asked anew after each wait. */
+  private isPaused(): boolean {
+    return !this.isFollowing;
+  }
+
+  private pauseFor(ms: number): Promise<void> {
     return new Promise((resolve) => this.options.clock.after(ms, resolve));
   }
 }
--- /dev/null
+++ b/packages/cell-process/src/cell-contact.ts
@@ -0,0 +1,174 @@
+import type { Clock } from '@acaciahoist/clock';
+import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
+import type { PeerCalls } from './peer-calls.js';
+
+type Offer = PeerCallMap['offer-help']['request'];
+type Reply = PeerCallMap['offer-help']['reply'];
+type Claim = NonNullable<Reply['claim']>;
+
+interface Options {
+  clock: Clock;
+  peers: Pick<PeerCalls, 'call'>;
+  ownAddress: string;
+  dataCentre: string;
+  /** The newest claim that the own replica shows; undefined for none. */
+  replicaClaim: () => Claim | undefined;
+  /** Cores to offer: 0 for a process that could not own the cell now. */
+  offeredCores: () => number;
+  /** The owner, or who was taken for it, answered. */
+  onOwnerReply: (claim: Claim, reply: Reply) => void;
+  /** The newest claim names this address, but another life of the process. */
+  onReplaced: (claim: Claim) => void;
+}
+
+/** Time limit in ms of a call to the owner. A call takes 2 ms. */
+const OWNER_CALL_MS = 700;
+/** Time limit in ms of a question to another process. */
+const ASK_MS = 250;
+/** Processes that are asked at a time. */
+const ASKED = 2;
+/** Counts of waiting jobs older than this in ms are not handed on; clients may be told what is 2 s old. */
+const PENDING_AGE_MS = 1_500;
+
+/**
+ * What a process knows of the others: who owns the cell, who holds a replica, and what they last said.
+ * Load pattern: the store turns away the owner and some other processes together; these do not read who
+ * took over, and find the owner through the others.
+ */
+export class CellContact {
+  static create(options: Options): CellContact {
+    return new CellContact(options);
+  }
+
+  private claim: Claim | undefined;
+  private standbys: readonly (readonly [address: string, dataCentre: string])[] = [];
+  private asked = 0;
+  private contactMs: number;
+  private pendingMs = Number.NEGATIVE_INFINITY;
+  private pending = new Map<string, number>();
+  private isCalling = false;
+
+  private constructor(private readonly options: Options) {
+    this.contactMs = options.clock.monotonicMs();
+  }
+
+  /** Another process named the claim that it knows. */
+  heardClaim(claim: Claim | null): void {
+    if (claim !== null && claim.token > (this.claim?.token ?? 0)) this.claim = claim;
+  }
+
+  heardStandbys(standbys: Reply['standbys']): void {
+    if (standbys.length > 0) this.standbys = standbys;
+  }
+
+  knownStandbys(): Reply['standbys'] {
+    return this.standbys;
+  }
+
+  /** The newer one of the claim that the replica shows and the one that others named. */
+  newestClaim(): Claim | undefined {
+    const known = this.options.replicaClaim();
+    return (this.claim?.token ?? 0) > (known?.token ?? 0) ? this.claim : known;
+  }
+
+  /** True when others named a newer claim than the replica shows. */
+  isAheadOfReplica(): boolean {
+    return this.newestClaim() !== this.options.replicaClaim();
+  }
+
+  /** Address of the owner when it is another process. */
+  ownerAddress(): string | undefined {
+    const address = this.newestClaim()?.address;
+    return address === this.options.ownAddress ? undefined : address;
+  }
+
+  /** Time in ms since another process with a current replica answered. */
+  ageMs(): number {
+    return this.options.clock.monotonicMs() - this.contactMs;
+  }
+
+  /** Jobs of a queue that wait for their first start; undefined when that was not heard lately. */
+  pendingOf(queue: string): number | undefined {
+    if (this.options.clock.monotonicMs() - this.pendingMs > PENDING_AGE_MS) return undefined;
+    return this.pending.get(queue) ?? 0;
+  }
+
+  /** Other processes that hold a replica: those of the own data centre first, the owner last. */
+  replicaAddresses(): string[] {
+    const { ownAddress, dataCentre } = this.options;
+    const owner = this.ownerAddress();
+    const others = this.standbys.filter(([address]) => address !== ownAddress && address !== owner);
+    const near = others.filter(([, where]) => where === dataCentre);
+    const far = others.filter(([, where]) => where !== dataCentre);
+    // Each process begins at another one, so that questions are spread over the standbys.
+    const first = far.length === 0 ? 0 : hash(ownAddress) % far.length;
+    const ordered = [...near, ...far.slice(first), ...far.slice(0, first)];
+    return [...ordered.map(([address]) => address), ...(owner === undefined ? [] : [owner])];
+  }
+
+  /** Calls the owner, or asks others who it is. */
+  async call(): Promise<void> {
+    if (this.isCalling) return;
+    this.isCalling = true;
+    const isHeard = await this.callOwner();
+    this.isCalling = false;
+    if (!isHeard) await this.search();
+  }
+
+  /** Asks some of the known processes, in turn, who owns the cell. */
+  async search(): Promise<void> {
+    const known = this.replicaAddresses();
+    const count = Math.min(ASKED, known.length);
+    const chosen = Array.from(
+      { length: count },
+      (_, index) => known[(this.asked + index) % known.length] ?? '',
+    );
+    this.asked += count;
+    await Promise.all(
+      chosen.map(async (address) => {
+        // No cores: a process that cannot reach the owner must not attract the cell.
+        const offer = this.offer(0);
+        const reply = await this.options.peers.call(address, 'offer-help', offer, ASK_MS);
+        if (reply.isOk) this.take(reply.value);
+      }),
+    );
+  }
+
+  /** True when the owner answered, or is this process. */
+  private async callOwner(): Promise<boolean> {
+    const { peers, ownAddress, offeredCores, onOwnerReply, onReplaced } = this.options;
+    const claim = this.newestClaim();
+    if (claim === undefined) return false;
+    if (claim.address === ownAddress) {
+      onReplaced(claim);
+      return true;
+    }
+    const offer = this.offer(offeredCores());
+    const reply = await peers.call(claim.address, 'offer-help', offer, OWNER_CALL_MS);
+    if (reply.isErr) return false;
+    this.take(reply.value);
+    onOwnerReply(claim, reply.value);
+    return true;
+  }
+
+  private take(reply: Reply): void {
+    this.heardClaim(reply.claim);
+    this.heardStandbys(reply.standbys);
+    if (reply.pending === null) return;
+    const nowMs = this.options.clock.monotonicMs();
+    this.contactMs = nowMs;
+    this.pendingMs = nowMs;
+    this.pending = new Map(reply.pending);
+  }
+
+  private offer(cores: number): Offer {
+    const { ownAddress, dataCentre } = this.options;
+    return { address: ownAddress, cores, dataCentre };
+  }
+}
+
+function hash(text: string): number {
+  let value = 0;
+  for (const char of text) value = (value * 31 + char.charCodeAt(0)) >>> 0;
+  return value;
+}
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -16,14 +16,17 @@
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
+import { CellContact } from './cell-contact.js';
+import { chooseStandbys } from './choose-standbys.js';
 import { isAdvice } from './is-advice.js';
 import { OwnerFeed } from './owner-feed.js';
-import { OwnerFinder } from './owner-finder.js';
+import { ownerHint } from './owner-hint.js';
 import { OwnerTerm } from './owner-term.js';
 import { PeerService } from './peer-service.js';
 import { MachineRanking } from './machine-ranking.js';
 import type { PeerCalls } from './peer-calls.js';
 import { Relay } from './relay.js';
+import { ReplicaMode } from './replica-mode.js';
 
 interface Options {
   clock: Clock;
@@ -37,7 +40,13 @@
   /** Address `ip:port` for calls between the processes. */
   peerAddress: string;
   peers: PeerCalls;
-  topics: { cell: string; snapshots: string; configuration: string; workers: string };
+  topics: {
+    cell: string;
+    snapshots: string;
+    hints: string;
+    configuration: string;
+    workers: string;
+  };
   configurationKey: string;
   /** How long ended jobs are remembered, in ms. */
   retentionMs: number;
@@ -47,6 +56,9 @@
   claimJitterMs: number;
   /** Processor time of the machine, in cores. */
   cores: number;
+  dataCentre: string;
+  /** Which processes hold a replica of the cell. */
+  replicas: { smallCell: number; standbys: number };
   decodeConfiguration: (data: Uint8Array) => CellConfiguration | undefined;
   decodeWorkerEntry: (id: string, data: Uint8Array) => WorkerEntry | undefined;
   connect: (entry: WorkerEntry) => WorkerClient;
@@ -59,13 +71,16 @@
 const OWNER_GAP_MS = 50;
 /** The configuration must be in force within 2 s: a read waits this long in ms at most. */
 const CONFIGURATION_WAIT_MS = 1_000;
-/** Interval of calls to the owner in ms; also finds an owner whose process is gone. */
-const OFFER_HELP_MS = 300;
-const OFFER_TIMEOUT_MS = 700;
+/** Interval in ms of calls to the owner by a process with a replica; also finds an owner whose process is gone. */
+const CONTACT_MS = 300;
+/** The same for one without: a hundred of them call one owner. */
+const THIN_CONTACT_MS = 500;
+/** Time in ms between two choices of the standbys. */
+const CHOICE_MS = 500;
+/** Pause in ms before a hint is read again that the store did not answer. */
+const HINT_RETRY_MS = 150;
 /** Additional wait in ms of a small machine before it claims: a larger one claims within the jitter. */
 const OUTRANKED_DELAY_MS = 400;
-/** A new owner has heard of all other machines after this time in ms. */
-const MIN_OWNED_MS = 1_500;
 /** Least time in ms between two hand-overs by one process: the larger machine may be at fault. */
 const YIELD_INTERVAL_MS = 8_000;
 /** An owner to which the store owes an answer for this long in ms is turned away. A slow store takes 400. */
@@ -76,6 +91,10 @@
 const FEED_AGE_MS = 600;
 /** A process whose replica is older than this in ms asks others who owns the cell. */
 const SEARCH_AGE_MS = 500;
+/** A process without a replica that heard of nobody with one for this long in ms serves clients badly. */
+const CONTACT_AGE_MS = 1_200;
+/** Longest time in ms that another process waits until this one has read the end of the log. */
+const TELL_SYNC_MS = 300;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
 const READY_AGE_MS = 900;
 
@@ -98,14 +117,33 @@
   /** Name of this life of the process. */
   private readonly self: string;
   private readonly ranking: MachineRanking;
-  private readonly finder: OwnerFinder;
+  private readonly contact: CellContact;
+  private readonly mode: ReplicaMode;
+  private isHolding = true;
   private mayYieldFromMs = 0;
+  private standbys: readonly (readonly [string, string])[] = [];
+  private chosenMs = Number.NEGATIVE_INFINITY;
 
   private constructor(private readonly options: Options) {
     const { clock, log, store, topics, name, incarnation } = options;
     this.self = `${name}/${incarnation}`;
     this.ranking = MachineRanking.create(clock, options.cores);
-    this.finder = OwnerFinder.create({ peers: options.peers, ownAddress: options.peerAddress });
+    this.mode = ReplicaMode.create(clock);
+    this.contact = CellContact.create({
+      clock,
+      peers: options.peers,
+      ownAddress: options.peerAddress,
+      dataCentre: options.dataCentre,
+      replicaClaim: () => this.replica.state.claim,
+      // A process that could not own the cell now must not attract it.
+      offeredCores: () => (this.isReady() ? options.cores : 0),
+      onOwnerReply: (claim, reply) => {
+        this.ownerReplied(claim, reply);
+      },
+      onReplaced: (claim) => {
+        if (claim.owner !== this.self) this.ownership.suspect(claim.owner, 'replaced');
+      },
+    });
     const { self } = this;
     this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
     const feed = OwnerFeed.create({
@@ -130,7 +168,7 @@
       },
       onReloaded: () => {
         this.ownership.fenced('reloaded');
-        void this.callOwner();
+        void this.contact.call();
       },
     });
     this.ownership = CellOwnership.create({
@@ -164,18 +202,25 @@
         log('error', 'front-fenced', {});
       },
     });
-    const relay = Relay.create({ peers: options.peers, ownerAddress: () => this.ownerAddress() });
+    const relay = Relay.create({
+      peers: options.peers,
+      ownerAddress: () => this.contact.ownerAddress(),
+      replicaAddresses: () => this.contact.replicaAddresses(),
+    });
     this.front = CellFront.create({
       clock,
       log,
       count: options.count,
-      state: () => this.replica.state,
+      state: () => (this.isHolding ? this.replica.state : undefined),
       replicaAgeMs: () => this.replica.ageMs(),
       storeSilentMs: () => this.storeSilentMs(),
       sync: (timeoutMs) => this.replica.sync(timeoutMs),
       append: (record) => this.appendForClient(recordCodec.encode(record)),
       relayAppend: (record) => relay.append(recordCodec.encode(record)),
-      relayOutcome: (id) => relay.outcomeOf(id),
+      relayThroughStandby: (record) => relay.appendThroughStandby(recordCodec.encode(record)),
+      askOutcome: (id) => relay.outcomeOf(id),
+      heardPending: (queue) => this.contact.pendingOf(queue),
+      retentionMs: options.retentionMs,
     });
     this.configurationFollower = KeyedFollower.create({
       clock,
@@ -201,7 +246,7 @@
         this.storeSilentMs() < RELAY_STORE_SILENT_MS
           ? this.appendForClient(data)
           : Promise.resolve(AppendOutcome.refused),
-      outcomeOf: (job) => (this.replica.ageMs() < READY_AGE_MS ? this.outcomeOf(job) : undefined),
+      outcomeOf: (job) => this.tellOutcome(job),
       readLog: (call) => this.readLog(call),
       advise: this.options.advise,
     });
@@ -212,17 +257,43 @@
         if (claim?.address === address) this.ownership.suspect(claim.owner, 'refused');
       },
     );
-    void this.replica.run();
     void this.configurationFollower.run();
+    void this.join();
+  }
+
+  /** Finds out whether this process is needed as a replica at once, and begins to take part. */
+  private async join(): Promise<void> {
+    const { clock, store, topics, log } = this.options;
+    let hint = await ownerHint.read(store, topics.hints);
+    while (hint === undefined && !this.isStopping) {
+      await new Promise<void>((resolve) => clock.after(HINT_RETRY_MS, resolve));
+      hint = await ownerHint.read(store, topics.hints);
+    }
+    if (this.isStopping) return;
+    if (hint !== null && hint !== undefined) {
+      log('info', 'owner-hint-read', { owner: hint.claim.owner, standbys: hint.standbys.length });
+      this.contact.heardClaim(hint.claim);
+      this.contact.heardStandbys(hint.standbys);
+      this.ranking.largestReported(hint.largestCores);
+      // A much smaller machine leaves a cell that lost its owner to the larger ones first.
+      if (this.ranking.isOutranked()) this.mode.beginWithout();
+    }
+    this.applyMode();
+    void this.replica.run();
     this.ownership.start();
-    this.offerHelp();
+    this.keepContact();
   }
 
   isOwner(): boolean {
     return this.term !== undefined;
   }
 
-  /** State of a job as this process knows it. */
+  /** True while this process applies the log of the cell. */
+  holdsReplica(): boolean {
+    return this.isHolding;
+  }
+
+  /** State of a job as the replica of this process shows it. */
   outcomeOf(id: string): JobOutcome | undefined {
     return this.replica.state.outcomeOf(id);
   }
@@ -238,12 +309,9 @@
 
   /** True when clients are better served here than by other processes. */
   isReady(): boolean {
-    return (
-      !this.isStopping &&
-      this.replica.isLoaded &&
-      this.configuration !== undefined &&
-      this.replica.ageMs() < READY_AGE_MS
-    );
+    if (this.isStopping || this.configuration === undefined) return false;
+    if (!this.isHolding) return this.contact.ageMs() < CONTACT_AGE_MS;
+    return this.replica.isLoaded && this.replica.ageMs() < READY_AGE_MS;
   }
 
   /** Hands the cell over and stops claiming it; clients are still served. */
@@ -259,7 +327,7 @@
     const { clock, log, cores } = this.options;
     const nowMs = clock.monotonicMs();
     if (this.term === undefined || !this.ranking.isOutranked()) return;
-    if (nowMs - this.term.startedMs < MIN_OWNED_MS || nowMs < this.mayYieldFromMs) return;
+    if (!this.term.knowsOthers() || nowMs < this.mayYieldFromMs) return;
     this.mayYieldFromMs = nowMs + YIELD_INTERVAL_MS;
     log('info', 'owner-yields', { cores, largestCores: this.ranking.largest() });
     await this.term.release();
@@ -281,6 +349,8 @@
       configuration: this.configuration?.version ?? null,
       owner: state.claim ?? null,
       owning: this.ownership.isOwning(),
+      holdsReplica: this.isHolding,
+      contactAgeMs: Math.round(this.contact.ageMs()),
       replica: {
         nextOffset: state.nextOffset,
         ageMs: Math.round(this.replica.ageMs()),
@@ -317,6 +387,8 @@
   private becomeOwner(token: number): void {
     const { log } = this.options;
     this.ceaseOwner('claimed anew');
+    this.standbys = [];
+    this.chosenMs = Number.NEGATIVE_INFINITY;
     log('info', 'owner-started', { token, jobs: this.replica.state.jobs.size });
     this.term = OwnerTerm.create({
       ...this.options,
@@ -328,6 +400,7 @@
       },
     });
     this.term.start();
+    this.announce();
   }
 
   private ceaseOwner(reason: string): void {
@@ -337,38 +410,77 @@
     this.term = undefined;
   }
 
-  private offerHelp(): void {
-    this.options.clock.after(OFFER_HELP_MS, () => {
+  private keepContact(): void {
+    this.options.clock.after(this.isHolding ? CONTACT_MS : THIN_CONTACT_MS, () => {
       if (this.isStopping) return;
-      void this.callOwner();
+      void this.contact.call();
       void this.yieldToLarger();
-      if (this.replica.ageMs() > SEARCH_AGE_MS) void this.finder.search();
-      this.offerHelp();
+      if (this.isHolding && this.replica.ageMs() > SEARCH_AGE_MS) void this.contact.search();
+      this.applyMode();
+      this.announce();
+      this.keepContact();
     });
   }
 
-  /** Offers help to the owner, and notices when its process was replaced by another life. */
-  private async callOwner(): Promise<void> {
-    const { peers, peerAddress } = this.options;
-    const claim = this.finder.newest(this.replica.state.claim);
-    if (claim === undefined || claim.address === peerAddress) {
-      if (claim !== undefined && claim.owner !== this.self)
-        this.ownership.suspect(claim.owner, 'replaced');
-      return;
-    }
-    // A process that could not own the cell now must not attract it.
-    const cores = this.isReady() ? this.options.cores : 0;
-    const offer = { address: peerAddress, cores };
-    const reply = await peers.call(claim.address, 'offer-help', offer, OFFER_TIMEOUT_MS);
-    if (reply.isErr) return;
-    this.ranking.largestReported(reply.value.largestCores);
-    this.finder.heardOf(reply.value.peers);
-    this.finder.heardClaim(reply.value.claim);
-    if (reply.value.life !== claim.owner) this.ownership.suspect(claim.owner, 'replaced');
-    else if (reply.value.storeSilentMs > OWNER_STORE_SILENT_MS)
+  /** Begins or ends to hold a replica as the mode says. */
+  private applyMode(): void {
+    const isHolding = this.mode.decide({
+      contactAgeMs: this.contact.ageMs(),
+      isOwning: this.term !== undefined,
+      isOutranked: this.ranking.isOutranked(),
+    });
+    if (isHolding === this.isHolding) return;
+    this.isHolding = isHolding;
+    this.options.log('info', isHolding ? 'replica-taken-up' : 'replica-given-up', {
+      contactAgeMs: Math.round(this.contact.ageMs()),
+      owner: this.contact.newestClaim()?.owner ?? null,
+    });
+    if (isHolding) this.replica.resume();
+    else this.replica.pause();
+  }
+
+  /** The owner, or who was taken for it, answered: notices a process that was replaced by another life. */
+  private ownerReplied(claim: { owner: string }, reply: PeerCallMap['offer-help']['reply']): void {
+    this.ranking.largestReported(reply.largestCores);
+    if (reply.isStandby !== null) this.mode.chosen(reply.isStandby);
+    if (reply.life !== claim.owner) this.ownership.suspect(claim.owner, 'replaced');
+    else if (reply.storeSilentMs > OWNER_STORE_SILENT_MS)
       this.ownership.suspect(claim.owner, 'turned-away');
   }
 
+  /** As the owner: chooses the standbys anew from time to time, and writes a changed choice down. */
+  private announce(): void {
+    const { clock, store, replicas, dataCentre, log } = this.options;
+    const nowMs = clock.monotonicMs();
+    const claim = this.replica.state.claim;
+    if (this.term === undefined || claim === undefined || nowMs - this.chosenMs < CHOICE_MS) return;
+    const isFirst = this.chosenMs === Number.NEGATIVE_INFINITY;
+    this.chosenMs = nowMs;
+    const chosen = chooseStandbys({
+      candidates: this.ranking.list(),
+      ownDataCentre: dataCentre,
+      current: new Set(this.standbys.map(([address]) => address)),
+      ...replicas,
+    }).map(({ address, dataCentre: where }) => [address, where] as const);
+    const addresses = (list: typeof this.standbys): string =>
+      list
+        .map(([address]) => address)
+        .sort()
+        .join();
+    if (!isFirst && addresses(chosen) === addresses(this.standbys)) return;
+    this.standbys = chosen;
+    // Once another process owns the cell, these are asked who it is.
+    this.contact.heardStandbys(chosen);
+    log('info', 'standbys-chosen', { standbys: addresses(chosen) });
+    const { owner, address, token } = claim;
+    const hint = ownerHint.toRecord({
+      claim: { owner, address, token },
+      standbys: chosen,
+      largestCores: this.ranking.largest(),
+    });
+    this.term.announce(store.encodeKeyed(hint));
+  }
+
   private storeSilentMs(): number {
     return this.options.store.silentMs();
   }
@@ -376,21 +488,46 @@
   private takeOffer(
     offer: PeerCallMap['offer-help']['request'],
   ): PeerCallMap['offer-help']['reply'] {
-    const { address, cores } = offer;
-    this.ranking.heardOf(address, cores);
-    this.finder.heardOf([address]);
+    const { address, cores, dataCentre } = offer;
+    this.ranking.heardOf(address, { cores, dataCentre });
     this.term?.helperSeen(address, (step, workers, timeoutMs) =>
       this.askHelper(address, step, workers, timeoutMs),
     );
+    const isCurrent = this.isHolding && this.replica.ageMs() < READY_AGE_MS;
     return {
       life: this.self,
       storeSilentMs: this.storeSilentMs(),
       largestCores: this.ranking.largest(),
-      peers: this.finder.addresses(),
       claim: this.namedClaim(),
+      standbys: this.term === undefined ? this.contact.knownStandbys() : this.standbys,
+      isStandby: this.isChosen(address),
+      pending: isCurrent ? this.countPending() : null,
     };
   }
 
+  /** Whether the process is to hold a replica; null while this one does not know all others. */
+  private isChosen(address: string): boolean | null {
+    if (this.term?.knowsOthers() !== true) return null;
+    return this.standbys.some(([standby]) => standby === address);
+  }
+
+  private countPending(): (readonly [string, number])[] {
+    return [...this.replica.state.pending].filter(([, count]) => count > 0);
+  }
+
+  /** What this process tells others of a job; undefined while its replica is behind. */
+  private async tellOutcome(
+    job: string,
+  ): Promise<PeerCallMap['relay-outcome']['reply'] | undefined> {
+    if (!this.isHolding || this.replica.ageMs() > READY_AGE_MS) return undefined;
+    const known = this.outcomeOf(job);
+    if (known !== undefined) return { outcome: known, isAbsent: false };
+    const isCurrent = await this.replica.sync(TELL_SYNC_MS);
+    const found = this.outcomeOf(job);
+    if (found !== undefined) return { outcome: found, isAbsent: false };
+    return isCurrent ? { outcome: '', isAbsent: true } : undefined;
+  }
+
   /** The owner appends the records of clients together with its own. */
   private async appendForClient(data: Uint8Array): Promise<AppendOutcome> {
     const appended = await this.term?.appendForClient(data);
@@ -413,7 +550,7 @@
 
   /** The newest claim that this process knows, for those that cannot read it themselves. */
   private namedClaim(): PeerCallMap['offer-help']['reply']['claim'] {
-    const claim = this.finder.newest(this.replica.state.claim);
+    const claim = this.contact.newestClaim();
     if (claim === undefined) return null;
     const { owner, address, token } = claim;
     return { owner, address, token };
@@ -421,14 +558,8 @@
 
   /** Address of the process to follow: an owner that renews its claim, or one that others named. */
   private feedAddress(): string | undefined {
-    const isNamed = this.finder.isAhead(this.replica.state.claim);
-    return isNamed || this.ownership.isOwnerAlive() ? this.ownerAddress() : undefined;
-  }
-
-  /** Address of the owner when it is another process. */
-  private ownerAddress(): string | undefined {
-    const address = this.finder.newest(this.replica.state.claim)?.address;
-    return address === this.options.peerAddress ? undefined : address;
+    const isNamed = this.contact.isAheadOfReplica();
+    return isNamed || this.ownership.isOwnerAlive() ? this.contact.ownerAddress() : undefined;
   }
 
   private async askHelper(
--- a/packages/cell-process/src/machine-ranking.test.ts
+++ b/packages/cell-process/src/machine-ranking.test.ts
@@ -8,9 +8,9 @@
 test('is outranked by a much larger machine only, and only while it is heard of', () => {
   const clock = ManualClock.create();
   const ranking = MachineRanking.create(clock, 0.3);
-  ranking.heardOf('a', 0.33);
+  ranking.heardOf('a', { cores: 0.33, dataCentre: 'x' });
   expect(ranking.isOutranked()).toEqual(false);
-  ranking.heardOf('b', 1.35);
+  ranking.heardOf('b', { cores: 1.35, dataCentre: 'x' });
   expect(ranking.isOutranked()).toEqual(true);
   clock.advance(4_000);
   expect(ranking.isOutranked()).toEqual(false);
--- a/packages/cell-process/src/machine-ranking.ts
+++ b/packages/cell-process/src/machine-ranking.ts
@@ -5,6 +5,11 @@
 /** A machine with this many times the processor time is worth a hand-over. */
 const WORTHWHILE_FACTOR = 1.5;
 
+interface Machine {
+  cores: number;
+  dataCentre: string;
+}
+
 /**
  * Load pattern: a cell of unlike machines. The owner's work grows with the cell and does not fit on the
  * smallest machines, which only need to serve their clients. Knows the processor time of the machines
@@ -16,7 +21,7 @@
     return new MachineRanking(clock, cores);
   }
 
-  private readonly heard = new Map<string, { cores: number; atMs: number }>();
+  private readonly heard = new Map<string, Machine & { atMs: number }>();
   private reported: { cores: number; atMs: number } | undefined;
 
   private constructor(
@@ -25,8 +30,8 @@
   ) {}
 
   /** A process reported itself. */
-  heardOf(address: string, cores: number): void {
-    this.heard.set(address, { cores, atMs: this.clock.monotonicMs() });
+  heardOf(address: string, machine: Machine): void {
+    this.heard.set(address, { ...machine, atMs: this.clock.monotonicMs() });
   }
 
   /** The owner reported the largest machine that it knows. */
@@ -34,16 +39,23 @@
     this.reported = { cores, atMs: this.clock.monotonicMs() };
   }
 
-  /** Cores of the largest machine, the own one included. */
-  largest(): number {
+  /** Processes that reported themselves lately. */
+  list(): (Machine & { address: string })[] {
     const oldestMs = this.clock.monotonicMs() - SILENCE_MS;
-    let largest = this.cores;
-    for (const [address, { cores, atMs }] of this.heard) {
+    const found: (Machine & { address: string })[] = [];
+    for (const [address, { cores, dataCentre, atMs }] of this.heard) {
       if (atMs < oldestMs) this.heard.delete(address);
-      else largest = Math.max(largest, cores);
+      else found.push({ address, cores, dataCentre });
     }
+    return found;
+  }
+
+  /** Cores of the largest machine, the own one included. */
+  largest(): number {
+    let largest = this.cores;
+    for (const { cores } of this.list()) largest = Math.max(largest, cores);
     const { reported } = this;
-    if (reported !== undefined && reported.atMs >= oldestMs)
+    if (reported !== undefined && reported.atMs >= this.clock.monotonicMs() - SILENCE_MS)
       largest = Math.max(largest, reported.cores);
     return largest;
   }
--- /dev/null
+++ b/packages/cell-process/src/owner-hint.ts
@@ -0,0 +1,51 @@
+import { Packr } from 'msgpackr';
+import type { KeyedRecord } from '@acaciahoist/cell-types/keyed-record';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+
+/** What the owner writes down for processes that start: where to ask instead of reading the log. */
+interface Hint {
+  claim: { owner: string; address: string; token: number };
+  standbys: readonly (readonly [address: string, dataCentre: string])[];
+  largestCores: number;
+}
+
+const KEY = 'owner';
+const packr = new Packr({ useRecords: false, moreTypes: false });
+
+/**
+ * The newest hint about the owner, in a keyed topic. It may be out of date: what it names is asked
+ * before it is believed.
+ */
+export const ownerHint = {
+  toRecord(hint: Hint): KeyedRecord {
+    return { key: KEY, value: packr.pack(hint) };
+  },
+
+  /** Undefined when the store did not answer; null when there is no hint that can be read. */
+  async read(store: Pick<LogStore, 'newest'>, topic: string): Promise<Hint | null | undefined> {
+    const page = await store.newest(topic);
+    if (page === undefined) return undefined;
+    const data = page.records.find((record) => record.key === KEY)?.value;
+    return data === undefined ? null : decode(data);
+  },
+};
+
+function decode(data: Uint8Array): Hint | null {
+  try {
+    const value = packr.unpack(data) as Partial<Hint> | null;
+    const claim = value?.claim;
+    const isWhole =
+      typeof claim?.owner === 'string' &&
+      typeof claim.address === 'string' &&
+      typeof claim.token === 'number' &&
+      typeof value?.largestCores === 'number' &&
+      Array.isArray(value.standbys) &&
+      value.standbys.every(
+        (row) => Array.isArray(row) && typeof row[0] === 'string' && typeof row[1] === 'string',
+      );
+    return isWhole ? (value as Hint) : null;
+  } catch {
+    // msgpackr throws on malformed bytes; a process without a hint reads the log.
+    return null;
+  }
+}
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -14,7 +14,7 @@
   clock: Clock;
   store: Pick<LogStore, 'append'>;
   log: EventLog;
-  topics: { cell: string; snapshots: string };
+  topics: { cell: string; snapshots: string; hints: string };
   token: number;
   snapshots: SnapshotStore;
   state: () => CellState;
@@ -31,6 +31,7 @@
 
   private readonly records: Appender;
   private readonly snapshotRecords: Appender;
+  private readonly hintRecords: Appender;
   private readonly cancelTimers: (() => void)[] = [];
   private isStopped = false;
   private isRenewing = false;
@@ -57,6 +58,12 @@
       producer,
       sequence: 0,
     });
+    this.hintRecords = Appender.create({
+      ...common,
+      topic: topics.hints,
+      producer,
+      sequence: 0,
+    });
   }
 
   start(): void {
@@ -73,6 +80,7 @@
     for (const cancel of this.cancelTimers) cancel();
     this.records.close();
     this.snapshotRecords.close();
+    this.hintRecords.close();
   }
 
   /** Age in ms of the newest append that was acknowledged, counted from before it was sent. */
@@ -92,6 +100,12 @@
     return this.records.isFailing ? undefined : this.records.append([data]);
   }
 
+  /** Writes down where processes that start find the owner and its standbys. */
+  announce(record: Uint8Array): void {
+    // A hint that waits would be out of date when its turn comes.
+    if (this.hintRecords.backlog === 0) void this.hintRecords.append([record]);
+  }
+
   private async renew(): Promise<void> {
     if (this.isRenewing) return;
     this.isRenewing = true;
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -17,7 +17,7 @@
   log: EventLog;
   count: (name: string, by?: number) => void;
   store: LogStore;
-  topics: { cell: string; snapshots: string; workers: string };
+  topics: { cell: string; snapshots: string; hints: string; workers: string };
   snapshots: SnapshotStore;
   replica: CellReplica;
   token: number;
@@ -32,6 +32,8 @@
 const WORKERS_GAP_MS = 250;
 /** Entries are read again in full at this interval in ms, so that missing ones are noticed. */
 const WORKERS_RELOAD_MS = 2_500;
+/** A new owner has heard of all other processes after this time in ms. */
+const MIN_OWNED_MS = 1_500;
 /** Longest time in ms that a stopping owner waits until its release is stored. */
 const RELEASE_MS = 700;
 
@@ -128,6 +130,16 @@
     this.owner.helperSeen(address, ask);
   }
 
+  /** True once all processes that live had the time to report themselves. */
+  knowsOthers(): boolean {
+    return this.options.clock.monotonicMs() - this.startedMs >= MIN_OWNED_MS;
+  }
+
+  /** Writes down where processes that start find the owner and its standbys. */
+  announce(record: Uint8Array): void {
+    this.log.announce(record);
+  }
+
   /** Appends a record of a client together with the owner's own; undefined when it would have to wait. */
   appendForClient(data: Uint8Array): Promise<AppendOutcome | undefined> {
     return this.log.appendForClient(data);
--- a/packages/cell-process/src/peer-service.ts
+++ b/packages/cell-process/src/peer-service.ts
@@ -1,7 +1,6 @@
 import Result from 'true-myth/result';
 import type { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
-import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
 import { Failure } from '@acaciahoist/errors';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
@@ -14,8 +13,8 @@
   helpOffered: (offer: Request<'offer-help'>) => Reply<'offer-help'>;
   /** Appends a record for a process that the store does not answer. */
   append: (data: Uint8Array) => Promise<AppendOutcome>;
-  /** State of a job; undefined when it is not known or the replica is behind. */
-  outcomeOf: (job: string) => JobOutcome | undefined;
+  /** State of a job; undefined when the replica is behind. */
+  outcomeOf: (job: string) => Promise<Reply<'relay-outcome'> | undefined>;
   /** Records of the log from an offset on; undefined when this process cannot vouch for them. */
   readLog: (call: Request<'read-log'>) => Promise<Reply<'read-log'> | undefined>;
   advise: AdviceClient;
@@ -38,9 +37,7 @@
           outcome: await this.options.append((body as Request<'relay-record'>).data),
         });
       case 'relay-outcome':
-        return Result.ok({
-          outcome: this.options.outcomeOf((body as Request<'relay-outcome'>).job) ?? '',
-        });
+        return this.tellOutcome(body as Request<'relay-outcome'>);
       case 'read-log':
         return this.readLog(body as Request<'read-log'>);
       case 'advise': {
@@ -52,6 +49,12 @@
     }
   }
 
+  private async tellOutcome(call: Request<'relay-outcome'>): Promise<Result<unknown, Failure>> {
+    const reply = await this.options.outcomeOf(call.job);
+    if (reply !== undefined) return Result.ok(reply);
+    return Result.err(Failure.create(ErrorKind.notOwner, 'this process has no current replica'));
+  }
+
   private async readLog(call: Request<'read-log'>): Promise<Result<unknown, Failure>> {
     const page = await this.options.readLog(call);
     if (page !== undefined) return Result.ok(page);
--- a/packages/cell-process/src/relay.ts
+++ b/packages/cell-process/src/relay.ts
@@ -1,5 +1,5 @@
-import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
-import { JobOutcome as outcomes } from '@acaciahoist/cell-types/job-outcome';
+import { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
+import type { RemoteOutcome } from '@acaciahoist/cell-front/remote-outcome';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
 import type { PeerCalls } from './peer-calls.js';
@@ -8,14 +8,20 @@
   peers: Pick<PeerCalls, 'call'>;
   /** Address of the process that owns the cell as far as is known; undefined for none or oneself. */
   ownerAddress: () => string | undefined;
+  /** Other processes that hold a replica, in the order in which to ask them. */
+  replicaAddresses: () => readonly string[];
 }
 
-/** Time limit of a relayed call in ms: an append at the owner and the way there and back. */
+/** Time limit of a relayed append in ms: an append at the owner and the way there and back. */
 const RELAY_MS = 900;
+/** Time limit of a question in ms; a job that is not known there takes an answer of the store. */
+const ASK_MS = 450;
+/** Processes that are asked one after the other. */
+const MAX_ASKED = 3;
 
 /**
- * Reaches the store through the owner. Load pattern: the store turns some processes away and serves the
- * others; until the balancer has moved their clients, those processes can still serve them this way.
+ * Reaches the store and the state of the cell through other processes. Load pattern: the store turns
+ * some processes away and serves the others, and most processes of a large cell hold no replica.
  */
 export class Relay {
   static create(options: Options): Relay {
@@ -24,10 +30,33 @@
 
   private constructor(private readonly options: Options) {}
 
-  /** Appends a record. `refused` only when it was certainly not appended. */
+  /** Appends a record through the owner. `refused` only when it was certainly not appended. */
   async append(data: Uint8Array): Promise<AppendOutcome> {
-    const address = this.options.ownerAddress();
-    if (address === undefined) return AppendOutcome.refused;
+    const owner = this.options.ownerAddress();
+    if (owner === undefined) return AppendOutcome.refused;
+    return this.appendThrough(owner, data);
+  }
+
+  /** Appends a record through a process that is not the owner, where there is one. */
+  async appendThroughStandby(data: Uint8Array): Promise<AppendOutcome> {
+    const owner = this.options.ownerAddress();
+    const standby = this.options.replicaAddresses().find((address) => address !== owner);
+    return standby === undefined ? AppendOutcome.refused : this.appendThrough(standby, data);
+  }
+
+  /** State of a job; undefined when no process with a current replica can be asked. */
+  async outcomeOf(job: string): Promise<RemoteOutcome | undefined> {
+    for (const address of this.options.replicaAddresses().slice(0, MAX_ASKED)) {
+      const reply = await this.options.peers.call(address, 'relay-outcome', { job }, ASK_MS);
+      if (reply.isErr) continue;
+      if (reply.value.isAbsent) return { kind: 'absent' };
+      const outcome = Object.values(JobOutcome).find((known) => known === reply.value.outcome);
+      if (outcome !== undefined) return { kind: 'known', outcome };
+    }
+    return undefined;
+  }
+
+  private async appendThrough(address: string, data: Uint8Array): Promise<AppendOutcome> {
     const reply = await this.options.peers.call(address, 'relay-record', { data }, RELAY_MS);
     if (reply.isErr)
       return reply.error.kind === ErrorKind.ownerUnreachable
@@ -36,14 +65,4 @@
     const { outcome } = reply.value;
     return Object.values(AppendOutcome).find((known) => known === outcome) ?? AppendOutcome.unknown;
   }
-
-  /** State of a job; undefined when the owner does not know the job or cannot be asked. */
-  async outcomeOf(job: string): Promise<JobOutcome | undefined> {
-    const address = this.options.ownerAddress();
-    if (address === undefined) return undefined;
-    const reply = await this.options.peers.call(address, 'relay-outcome', { job }, RELAY_MS);
-    if (reply.isErr) return undefined;
-    const { outcome } = reply.value;
-    return Object.values(outcomes).find((known) => known === outcome);
-  }
 }
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -5,7 +5,10 @@
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import type { PeerFrame } from '@acaciahoist/types/peer-frame';
 import type { ProcessIdentity } from '@acaciahoist/types/process-identity';
+import { findShapeFault } from './find-shape-fault.js';
+import { isPeerCallType } from './is-peer-call-type.js';
 import type { PeerCallType } from './peer-call-type.js';
+import { replyShapes } from './reply-shapes.js';
 import { toFailure } from './to-failure.js';
 
 interface Waiting {
@@ -69,8 +72,7 @@
       this.dropped += 1;
       return;
     }
-    const isReply = frame.kind === 'reply';
-    this.finish(frame.id, isReply ? Result.ok(frame.body) : Result.err(toFailure(frame.body)));
+    this.finish(frame.id, readReply(frame));
   }
 
   /** Ends every call in flight; their results are not known. */
@@ -92,6 +94,13 @@
   }
 }
 
+function readReply(frame: PeerFrame): Result<unknown, Failure> {
+  if (frame.kind !== 'reply') return Result.err(toFailure(frame.body));
+  const shape = isPeerCallType(frame.type) ? replyShapes[frame.type] : undefined;
+  const fault = shape && findShapeFault(shape, frame.body, frame.type);
+  return fault === undefined ? Result.ok(frame.body) : unknownResult(`malformed reply: ${fault}`);
+}
+
 function unknownResult(message: string): Result<unknown, Failure> {
   return Result.err(Failure.create(ErrorKind.outcomeUnknown, message));
 }
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -80,7 +80,7 @@
     result: oneOf('ended', 'not-sent', 'unknown'),
   }),
   'fence-slots': object({ partition: string, token: number }),
-  'offer-help': object({ address: string, cores: number }),
+  'offer-help': object({ address: string, cores: number, dataCentre: string }),
   advise: object({ step: string, workers: list(string, 256), timeoutMs: number }),
   'relay-record': object({ data: bytes }),
   'relay-outcome': object({ job: string }),
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -49,19 +49,24 @@
     request: { partition: PartitionId; token: number };
     reply: { incarnation: string; stopped: boolean; grants: readonly OutstandingGrant[] };
   };
-  /** Sent to the owner of the cell: the sender calls the advice service on request. */
+  /** Sent to the owner of the cell, or to a standby: the sender lives, and calls the advice service on request. */
   'offer-help': {
-    request: { address: string; cores: number };
+    request: { address: string; cores: number; dataCentre: string };
     /**
      * `life`: name and incarnation of the process that replies; time for which the store has owed it an
-     * answer; cores of the largest machine, addresses and newest claim that it knows.
+     * answer; cores of the largest machine and newest claim that it knows.
      */
     reply: {
       life: string;
       storeSilentMs: number;
       largestCores: number;
-      peers: readonly string[];
       claim: { owner: string; address: string; token: number } | null;
+      /** Processes that hold a replica of the cell, with their data centres. */
+      standbys: readonly (readonly [string, string])[];
+      /** True when the sender is to hold a replica, false when not, null when the owner has to say it. */
+      isStandby: boolean | null;
+      /** Jobs that wait for their first start, by queue; null from a process whose replica is not current. */
+      pending: readonly (readonly [string, number])[] | null;
     };
   };
   /** Sent by a process that the store turns away: the receiver appends the record in its place. */
@@ -71,8 +76,11 @@
     request: { from: number; waitMs: number };
     reply: { end: number; records: readonly Uint8Array[] };
   };
-  /** Sent by a process whose replica is behind. `outcome` is empty for an unknown job. */
-  'relay-outcome': { request: { job: string }; reply: { outcome: string } };
+  /**
+   * Sent by a process without a current replica. `outcome` is empty when the job is not known; `isAbsent`
+   * says that no such job was in the log when the call arrived.
+   */
+  'relay-outcome': { request: { job: string }; reply: { outcome: string; isAbsent: boolean } };
   advise: {
     request: { step: string; workers: readonly string[]; timeoutMs: number };
     reply: { advice: unknown };
