Start no more at once than the owner can send

Change: a window bounds the starts that are decided and not answered; it grows with quick answers and shrinks after slow ones, and the planner gets what is left of it. The delay with which a process gets to its work is measured, served as a histogram, and stretches planning, looks at workers and the calls of other processes. Log lines are bounded by the size of the machine, and a take-over logs one line for all workers.

Each writer has its own parts now, and removes those of others once its own are whole.

Processes without a replica take one up 1.5 s after the last answer (0.8 s before), and ask standbys after 0.25 s.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -90,6 +90,24 @@
   expect(stopped).toEqual([]);
 });
 
+// Load pattern: a burst at an owner whose machine takes 4 ms for a call (a twelfth of a core). Guards
+// against more starts than it can send in time: most of them went unanswered, and finding out what became
+// of each took more calls than the starts (large site at a small size, quiet-1).
+test('starts no more at once than its machine can send', async () => {
+  const callCostMs = { p0: 4, p1: 4, p2: 4 };
+  const cell = EmulatedCell.create({ seed: 23, processes: 3, workers: 24, callCostMs });
+  await cell.start();
+  await cell.run(2_000);
+  const job = makeJob(1, [{ count: 160, millicores: 1_000, estimateMs: 1_500 }]);
+  const submitted = cell.submit(job, 'p0');
+  await cell.run(6_000);
+  expect(await submitted).toEqual('accepted');
+  expect(cell.lines.filter((line) => line.includes('start-not-answered'))).toEqual([]);
+  expect(cell.history.filter((event) => event.kind === 'started').length).toEqual(160);
+  expect(cell.unfinished()).toEqual([]);
+  expect(cell.violations()).toEqual([]);
+});
+
 // Guards against a slow take-over: the target is a lease (3 s) and 1 s from the death to the next start.
 test('starts work again soon after the death of the owner', async () => {
   const cell = await startCell(8);
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -6,6 +6,7 @@
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
+import type { StartReply } from '@acaciahoist/cell-types/start-reply';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { CellProcess } from '@acaciahoist/cell-process';
@@ -25,6 +26,8 @@
 const ALLOWED_SHARE = 0.7;
 /** Longest span of time in ms that passes without the code running in between. */
 const STEP_MS = 2;
+/** Limit in ms of a start, as the platform's client has it. */
+const START_LIMIT_MS = 400;
 
 interface Options {
   seed: number;
@@ -32,6 +35,8 @@
   workers: number;
   /** Cores of processes by name; 1 for those that are not named. */
   cores?: Readonly<Record<string, number>>;
+  /** Time in ms that a call to a worker takes of the processor, by process; none for those that are not named. */
+  callCostMs?: Readonly<Record<string, number>>;
   /** Which processes hold a replica; all of them in a small cell. */
   replicas?: { smallCell: number; standbys: number };
 }
@@ -57,6 +62,8 @@
   isCut: (process: string, worker: string) => boolean = () => false;
   private readonly gangs: EmulatedGangs;
   private lives = 0;
+  /** Time up to which the processor of a process is taken, by its name. */
+  private readonly busyUntilMs = new Map<string, number>();
 
   private constructor(private readonly options: Options) {
     this.random = Random.create(options.seed);
@@ -127,6 +134,7 @@
         );
       },
       count: () => undefined,
+      observeLoopDelay: () => undefined,
       store: this.store.client(name),
       name,
       incarnation: String(this.lives),
@@ -254,15 +262,40 @@
         });
       });
     return {
-      start: (order) => client()?.start(order) ?? none({ kind: 'unknown', reason: 'cut off' }),
-      stop: (task, run, token) => client()?.stop(task, run, token) ?? none('failed' as const),
+      start: async (order) => {
+        const sentMs = this.clock.monotonicMs();
+        await this.spend(name);
+        const reply =
+          (await client()?.start(order)) ?? none({ kind: 'unknown', reason: 'cut off' });
+        // The worker has carried it out, but nobody waits for the answer any more.
+        return this.clock.monotonicMs() - sentMs > START_LIMIT_MS
+          ? { kind: 'unknown', reason: 'time limit' }
+          : reply;
+      },
+      stop: async (task, run, token) => {
+        await this.spend(name);
+        return client()?.stop(task, run, token) ?? none('failed' as const);
+      },
       pace: (task, run, percent, token) =>
         client()?.pace(task, run, percent, token) ?? none('failed' as const),
-      hold: (call) => client()?.hold(call) ?? none({ kind: 'failed', reason: 'cut off' }),
+      hold: async (call) => {
+        await this.spend(name);
+        return client()?.hold(call) ?? none({ kind: 'failed', reason: 'cut off' });
+      },
       close: () => undefined,
     };
   }
 
+  /** Waits until the processor of a process has done the calls before this one, and this one. */
+  private async spend(name: string): Promise<void> {
+    const costMs = this.options.callCostMs?.[name] ?? 0;
+    if (costMs === 0) return;
+    const nowMs = this.clock.monotonicMs();
+    const doneMs = Math.max(nowMs, this.busyUntilMs.get(name) ?? 0) + costMs;
+    this.busyUntilMs.set(name, doneMs);
+    await new Promise<void>((resolve) => this.clock.after(doneMs - nowMs, resolve));
+  }
+
   private readonly advise: AdviceClient = async (step, workers) => {
     await new Promise<void>((resolve) => this.clock.after(ADVICE_MS, resolve));
     const allowed = workers.filter(
--- a/packages/cell-log/src/snapshot-store.test.ts
+++ b/packages/cell-log/src/snapshot-store.test.ts
@@ -66,6 +66,26 @@
   expect((await snapshots.read(empty, 1_000))?.nextOffset).toEqual(12);
 });
 
+// Guards against a new owner whose first snapshot overwrites the parts of the newest whole one and is not
+// finished: no process could start any more.
+test('leaves the snapshot of a former writer until its own is whole', async () => {
+  const values = new Map<string, Uint8Array | undefined>();
+  const former = create(values);
+  former.snapshots.begin('7');
+  await former.snapshots.write(stateAt(5), former.append);
+  const successor = create(values);
+  successor.snapshots.begin('8');
+  await successor.snapshots.write(stateAt(9), async (records) => {
+    await successor.append(records);
+    return 'refused';
+  });
+  expect((await create(values).snapshots.read(empty, 1_000))?.nextOffset).toEqual(5);
+  expect(await successor.snapshots.write(stateAt(12), successor.append)).toEqual(true);
+  expect((await create(values).snapshots.read(empty, 1_000))?.nextOffset).toEqual(12);
+  const kept = [...values].filter(([, value]) => value !== undefined).map(([key]) => key);
+  expect(kept.filter((key) => key.startsWith('7'))).toEqual([]);
+});
+
 // Guards against parts of two snapshots that are taken for one.
 test('refuses a snapshot whose parts do not belong together', async () => {
   const values = new Map<string, Uint8Array | undefined>();
--- a/packages/cell-log/src/snapshot-store.ts
+++ b/packages/cell-log/src/snapshot-store.ts
@@ -25,18 +25,30 @@
 }
 
 /**
- * Keeps the newest snapshot of the cell in a keyed topic. Two slots take turns, and the head record is
- * written last, so that a snapshot that was not finished never hides the one before it.
+ * Keeps the newest snapshot of the cell in a keyed topic. Each writer has two slots that take turns, and
+ * the head record is written last, so that a snapshot that was not finished never hides the one before
+ * it, whoever wrote that.
  */
 export class SnapshotStore {
   static create(options: Options): SnapshotStore {
     return new SnapshotStore(options);
   }
 
-  private slot = 'a';
+  /** Name of the writer in the names of its slots. */
+  private writer = '';
+  private turn: 'a' | 'b' = 'a';
+  /** True once the parts of other writers were removed. */
+  private isAlone = true;
 
   private constructor(private readonly options: Options) {}
 
+  /** To be called before the first write of an owner; `writer` differs from those of all others. */
+  begin(writer: string): void {
+    this.writer = writer;
+    this.turn = 'a';
+    this.isAlone = false;
+  }
+
   /** Writes through `append`, which fences former owners. True when the snapshot is in force. */
   async write(
     state: CellState,
@@ -45,8 +57,8 @@
     const offset = state.nextOffset;
     // Every process reads the snapshot when it starts, some over links of 2 Mbit/s.
     const data = deflateSync(snapshotCodec.encode(state), { level: constants.Z_BEST_SPEED });
-    const slot = this.slot;
-    this.slot = slot === 'a' ? 'b' : 'a';
+    const slot = `${this.writer}${this.turn}`;
+    this.turn = this.turn === 'a' ? 'b' : 'a';
     const chunks = Math.ceil(data.byteLength / CHUNK_BYTES);
     const records: Uint8Array[] = [];
     for (let index = 0; index < chunks; index += 1) {
@@ -56,7 +68,24 @@
     const head: Head = { slot, chunks, offset, isCompressed: true };
     for (const record of records)
       if ((await append([record])) !== AppendOutcome.appended) return false;
-    return (await append([this.encode('head', head)])) === AppendOutcome.appended;
+    if ((await append([this.encode('head', head)])) !== AppendOutcome.appended) return false;
+    if (!this.isAlone) this.isAlone = await this.removeOthers(append);
+    return true;
+  }
+
+  /** Removes the parts that other writers left behind; true when that is done. */
+  private async removeOthers(
+    append: (records: Uint8Array[]) => Promise<AppendOutcome>,
+  ): Promise<boolean> {
+    const { store, topic } = this.options;
+    const page = await store.newest(topic);
+    if (page === undefined) return false;
+    const isOwn = (key: string): boolean =>
+      key === 'head' || ['a', 'b'].some((turn) => key.startsWith(`${this.writer}${turn}.`));
+    const foreign = page.records.filter(({ key }) => !isOwn(key));
+    if (foreign.length === 0) return true;
+    const removals = foreign.map(({ key }) => store.encodeKeyed({ key, value: undefined }));
+    return (await append(removals)) === AppendOutcome.appended;
   }
 
   /**
@@ -70,7 +99,6 @@
     const headData = values.get('head');
     if (headData === undefined) return empty();
     const head = packr.unpack(headData) as Head;
-    this.slot = head.slot === 'a' ? 'b' : 'a';
     const parts: Uint8Array[] = [];
     for (let index = 0; index < head.chunks; index += 1) {
       const chunk = values.get(`${head.slot}.${index}`);
--- a/packages/cell-owner/src/advice-desk.ts
+++ b/packages/cell-owner/src/advice-desk.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { Advice } from '@acaciahoist/cell-types/advice';
-import type { AskBudget } from '@acaciahoist/cell-planner/ask-budget';
+import type { RoundBudget } from '@acaciahoist/cell-planner/round-budget';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 
 interface Lane {
@@ -48,11 +48,11 @@
   }
 
   /** Calls that can go out now, for prompt steps and for others. */
-  freeLanes(): AskBudget {
+  freeLanes(): Pick<RoundBudget, 'promptAsks' | 'otherAsks'> {
     const { all, others } = this.liveLanes();
     const countFree = (lanes: readonly Lane[]): number =>
       lanes.reduce((count, lane) => count + (lane.isBusy ? 0 : 1), 0);
-    return { prompt: countFree(all), other: countFree(others) };
+    return { promptAsks: countFree(all), otherAsks: countFree(others) };
   }
 
   /** Asks through a free lane; undefined when none is free for this kind of step. */
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -20,6 +20,7 @@
 import { PlanLoop } from './plan-loop.js';
 import { RunJudge } from './run-judge.js';
 import { StartSender } from './start-sender.js';
+import { StartWindow } from './start-window.js';
 import { WorkerHealth } from './worker-health.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -33,6 +34,8 @@
   append: (records: CellRecord[]) => void;
   /** Age in ms of the newest acknowledged append. */
   storeSilentMs: () => number;
+  /** Delay in ms with which the process gets to its work. */
+  loopDelayMs: () => number;
   connect: (entry: WorkerEntry) => WorkerClient;
   advise: AdviceClient;
   /** A worker has seen a higher token. */
@@ -57,11 +60,13 @@
   private readonly links = new Map<string, WorkerLink>();
   private readonly runs: RunTable;
   private readonly proposals = Proposals.create();
+  private readonly window: StartWindow;
   private readonly book: AdviceBook;
   private readonly desk: AdviceDesk;
   private readonly health: WorkerHealth;
   private readonly ownedSinceMs: number;
   private isStopped = false;
+  private foundAtFirst = 0;
   private readonly tracker: RunTracker;
   private readonly starter: StartSender;
   private readonly loop: PlanLoop;
@@ -76,12 +81,14 @@
     this.book = AdviceBook.create(clock);
     this.desk = AdviceDesk.create({ clock, own: options.advise });
     this.health = WorkerHealth.create(clock);
+    this.window = StartWindow.create(clock);
     const context: OwnerContext = {
       ...options,
       isStopped: () => this.isStopped,
       links: this.links,
       runs: this.runs,
       proposals: this.proposals,
+      window: this.window,
       book: this.book,
       health: this.health,
       proposeEnd: (view, how, reason) => {
@@ -97,6 +104,9 @@
   }
 
   start(): void {
+    this.options.clock.after(limits.firstWorkersMs, () => {
+      this.options.log('info', 'workers-found', { workers: this.foundAtFirst });
+    });
     this.every(limits.planTickMs, () => {
       this.concludeLostRuns();
       this.moveFromLeavingWorkers();
@@ -192,17 +202,19 @@
         silentMs: Math.round(link.silentMs()),
       })),
       adviceLanes: this.desk.size(),
+      starts: { decided: this.proposals.countStarts(), ...this.window.describe() },
     };
   }
 
   private connect(entry: WorkerEntry): void {
-    const { clock, log, token, storeSilentMs } = this.options;
+    const { clock, log, token, storeSilentMs, loopDelayMs } = this.options;
     const link = WorkerLink.create({
       clock,
       entry,
       client: this.options.connect(entry),
       token,
       mayExtend: () => storeSilentMs() < limits.extendWithoutStoreMs,
+      loopDelayMs,
       onHeld: (from, reply, sentMs) => {
         if (this.isStopped) return;
         this.tracker.held(from, reply, sentMs);
@@ -223,7 +235,10 @@
       },
     });
     this.links.set(entry.id, link);
-    log('info', 'worker-found', { worker: entry.id, address: entry.address, born: entry.born });
+    // After a take-over all workers are new to the owner; one line says so.
+    if (clock.monotonicMs() - this.ownedSinceMs < limits.firstWorkersMs) this.foundAtFirst += 1;
+    else
+      log('info', 'worker-found', { worker: entry.id, address: entry.address, born: entry.born });
     void link.run();
   }
 
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -12,6 +12,10 @@
   holdWaitMs: 1_000,
   /** Pause after a hold call that returned ends, so that one look serves several of them. */
   holdGapMs: 80,
+  /** The pause grows by this multiple of the delay of the process. */
+  holdDelayFactor: 2,
+  /** Workers that a new owner finds within this time are logged in one line. */
+  firstWorkersMs: 500,
   /** Pause after a hold call that failed. */
   holdRetryMs: 150,
   /** A worker that answered nothing for this long takes no starts. */
--- a/packages/cell-owner/src/owner-context.ts
+++ b/packages/cell-owner/src/owner-context.ts
@@ -7,6 +7,7 @@
 import type { Proposals } from './proposals.js';
 import type { RunTable } from './run-table.js';
 import type { RunView } from './run-view.js';
+import type { StartWindow } from './start-window.js';
 import type { WorkerHealth } from './worker-health.js';
 import type { WorkerLink } from './worker-link.js';
 
@@ -19,12 +20,15 @@
   token: number;
   /** Appends records under the owner's epoch. */
   append: (records: CellRecord[]) => void;
+  /** Delay in ms with which the process gets to its work. */
+  loopDelayMs: () => number;
   /** A worker has seen a higher token. */
   onFenced: () => void;
   isStopped: () => boolean;
   links: ReadonlyMap<string, WorkerLink>;
   runs: RunTable;
   proposals: Proposals;
+  window: StartWindow;
   book: AdviceBook;
   health: WorkerHealth;
   /** Records that a run is over. */
--- a/packages/cell-owner/src/plan-loop.test.ts
+++ b/packages/cell-owner/src/plan-loop.test.ts
@@ -28,6 +28,7 @@
     state,
     isStopped: () => false,
     proposals: Proposals.create(),
+    loopDelayMs: () => 0,
   } as unknown as OwnerContext;
   const own = () => Promise.resolve({ kind: 'busy' } as const);
   const loop = PlanLoop.create(context, AdviceDesk.create({ clock, own }));
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -42,8 +42,11 @@
   request(): void {
     if (this.isDue || this.context.isStopped()) return;
     this.isDue = true;
-    const { clock } = this.context;
-    const gapMs = Math.max(limits.planGapMs, this.tookMs * (1 + limits.planRestFactor));
+    const { clock, loopDelayMs } = this.context;
+    const gapMs = Math.max(
+      limits.planGapMs + loopDelayMs(),
+      this.tookMs * (1 + limits.planRestFactor),
+    );
     const delayMs = Math.max(0, this.plannedMs + gapMs - clock.monotonicMs());
     clock.after(delayMs, () => {
       this.isDue = false;
@@ -61,12 +64,15 @@
   }
 
   private planRound(nowMs: number): void {
-    const { clock } = this.context;
+    const { clock, proposals, window } = this.context;
     // Decisions made while the log does not take them would be stale when it does.
-    if (this.context.proposals.oldestMs(nowMs) > limits.staleProposalMs) return;
+    if (proposals.oldestMs(nowMs) > limits.staleProposalMs) return;
     const steps = this.board.list({ wallMs: clock.wallMs(), monotonicMs: nowMs });
     if (steps.length === 0) return;
-    const plan = planCell(steps, this.listWorkers(nowMs), nowMs, this.desk.freeLanes());
+    const plan = planCell(steps, this.listWorkers(nowMs), nowMs, {
+      ...this.desk.freeLanes(),
+      starts: window.roomFor(proposals.countStarts()),
+    });
     const byKey = new Map(steps.map((step) => [step.key, step]));
     this.recordStarts(plan.starts, byKey, nowMs);
     for (const ask of plan.asks) {
--- a/packages/cell-owner/src/proposals.ts
+++ b/packages/cell-owner/src/proposals.ts
@@ -34,6 +34,10 @@
     return start;
   }
 
+  countStarts(): number {
+    return this.starts.size;
+  }
+
   workerOf(task: string): string | undefined {
     return this.starts.get(task)?.worker;
   }
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -72,6 +72,8 @@
   private async sendStart(link: WorkerLink, view: RunView, payload: string): Promise<void> {
     const { clock, token } = this.context;
     const step = view.task.slice(0, view.task.lastIndexOf('.'));
+    const sentMs = clock.monotonicMs();
+    this.context.window.sent();
     const reply = await link.client.start({
       task: view.task,
       run: view.run,
@@ -81,6 +83,7 @@
       checkpoint: view.checkpoint,
       ticket: this.context.book.ticket(step, link.id) ?? '',
     });
+    this.context.window.settled(clock.monotonicMs() - sentMs);
     if (this.context.isStopped() || this.context.runs.get(view.task) !== view) return;
     view.settledMs = clock.monotonicMs();
     switch (reply.kind) {
--- /dev/null
+++ b/packages/cell-owner/src/start-window.test.ts
@@ -0,0 +1,31 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { StartWindow } from './start-window.js';
+
+// Guards against an owner that decides more starts than it can send before they are too old.
+test('allows fewer starts at once after slow answers, and more after quick ones', () => {
+  const clock = ManualClock.create();
+  const window = StartWindow.create(clock);
+  const first = window.roomFor(0);
+  expect(window.roomFor(first + 5)).toEqual(0);
+  for (let start = 0; start < first; start += 1) window.sent();
+  expect(window.roomFor(0)).toEqual(0);
+  for (let start = 0; start < first; start += 1) window.settled(10);
+  expect(window.roomFor(0)).toEqual(2 * first);
+  for (let burst = 0; burst < 20; burst += 1) {
+    clock.advance(300);
+    window.sent();
+    window.settled(400);
+  }
+  expect(window.roomFor(0)).toEqual(4);
+});
+
+// Guards against one burst of slow answers that stops the cell.
+test('counts the slow answers of one burst once', () => {
+  const window = StartWindow.create(ManualClock.create());
+  const first = window.roomFor(0);
+  for (let start = 0; start < first; start += 1) window.sent();
+  for (let start = 0; start < first; start += 1) window.settled(400);
+  expect(window.roomFor(0)).toBeGreaterThan(first / 2);
+});
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -13,6 +13,8 @@
   token: number;
   /** False when the owner has lost the store for too long to extend leases. */
   mayExtend: () => boolean;
+  /** Delay in ms with which the process gets to its work. */
+  loopDelayMs: () => number;
   onHeld: (link: WorkerLink, reply: Held, sentMs: number) => void;
   onFenced: () => void;
   /** This life of the worker is over. */
@@ -165,6 +167,8 @@
     }
     this.options.onHeld(this, reply, sentMs);
     if (isFirst) return 0;
-    return reply.ended.length > 0 ? limits.holdGapMs : 0;
+    if (reply.ended.length === 0) return 0;
+    // One look serves more ends while the process has much to do.
+    return limits.holdGapMs + limits.holdDelayFactor * this.options.loopDelayMs();
   }
 }
--- a/packages/cell-planner/src/index.ts
+++ b/packages/cell-planner/src/index.ts
@@ -1,4 +1,3 @@
-import type { AskBudget } from './ask-budget.js';
 import { chooseNamedWorkers } from './choose-named-workers.js';
 import { fits } from './fits.js';
 import { orderUnderOverload } from './order-under-overload.js';
@@ -7,6 +6,7 @@
 import type { Plan } from './plan.js';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
+import type { RoundBudget } from './round-budget.js';
 import type { Reservation } from './reservation.js';
 import { reserveGang } from './reserve-gang.js';
 import { RoomLedger } from './room-ledger.js';
@@ -22,9 +22,10 @@
 const TICKET_MARGIN_MS = 150;
 /** Tickets of a reserved gang are renewed so that they arrive this long before its room. */
 const ASK_AHEAD_MS = 250;
-const UNBOUNDED: AskBudget = {
-  prompt: Number.POSITIVE_INFINITY,
-  other: Number.POSITIVE_INFINITY,
+const UNBOUNDED: RoundBudget = {
+  promptAsks: Number.POSITIVE_INFINITY,
+  otherAsks: Number.POSITIVE_INFINITY,
+  starts: Number.POSITIVE_INFINITY,
 };
 
 /**
@@ -35,13 +36,13 @@
   steps: readonly ReadyStep[],
   workers: readonly PlannedWorker[],
   nowMs: number,
-  askBudget: AskBudget = UNBOUNDED,
+  roundBudget: RoundBudget = UNBOUNDED,
 ): Plan {
   const index = WorkerIndex.create(workers);
   const reservations: Reservation[] = [];
   const starts: { key: string; index: number; worker: string }[] = [];
   const asks: { key: string; workers: readonly string[] }[] = [];
-  const budget = { ...askBudget };
+  const budget = { ...roundBudget };
   let searches = 0;
 
   for (const step of orderUnderOverload(steps, nowMs)) {
@@ -50,6 +51,7 @@
       ask(step, size);
       continue;
     }
+    if (budget.starts <= 0) continue;
     const allowed = index.allowedFor(step);
     const ticketed = allowed.filter((worker) => hasTicket(step, worker, nowMs));
     const ledger = RoomLedger.create(reservations, step);
@@ -83,8 +85,9 @@
     ticketed: readonly PlannedWorker[],
     ledger: RoomLedger,
   ): void {
-    const placed = packTasks(step, size, ticketed, ledger);
+    const placed = packTasks(step, size, ticketed, ledger, budget.starts);
     for (const start of placed) starts.push({ key: step.key, ...start });
+    budget.starts -= placed.length;
     if (placed.length === step.waiting.length || !mayAsk(step)) return;
     const hasLapsedRoom = allowed.some(
       (worker) => !hasTicket(step, worker, nowMs) && fits(ledger.roomFor(worker), size),
@@ -101,6 +104,7 @@
   ): void {
     const placed = placeGang(step, size, ticketed, (worker) => ledger.roomFor(worker));
     if (placed !== undefined) {
+      budget.starts -= placed.length;
       const byId = new Map(ticketed.map((worker) => [worker.id, worker]));
       for (const start of placed) {
         starts.push({ key: step.key, ...start });
@@ -152,8 +156,8 @@
   }
 }
 
-function askKindOf(step: ReadyStep): keyof AskBudget {
-  return step.queue.priority === 0 ? 'prompt' : 'other';
+function askKindOf(step: ReadyStep): 'promptAsks' | 'otherAsks' {
+  return step.queue.priority === 0 ? 'promptAsks' : 'otherAsks';
 }
 
 function hasTicket(step: ReadyStep, worker: PlannedWorker, nowMs: number): boolean {
--- a/packages/cell-planner/src/pack-tasks.ts
+++ b/packages/cell-planner/src/pack-tasks.ts
@@ -10,13 +10,14 @@
 /**
  * Load pattern: many tasks of unlike size on workers that are nearly full. Each task goes to the worker
  * on which it leaves the least room, so that large holes stay for large tasks. Takes the room away and
- * returns the worker of each task that found one.
+ * returns the worker of each task that found one, `most` of them at the most.
  */
 export function packTasks(
   step: ReadyStep,
   size: Room,
   candidates: readonly PlannedWorker[],
   ledger: RoomLedger,
+  most: number,
 ): { index: number; worker: string }[] {
   const placed: { index: number; worker: string }[] = [];
   const limit = step.step.maxPerWorker > 0 ? step.step.maxPerWorker : Number.POSITIVE_INFINITY;
@@ -27,6 +28,7 @@
   for (const index of step.waiting) {
     const failedOn = candidates.length > 1 ? step.failedOn.get(index) : undefined;
     // The worker that was best stays best until it is full: the task left even less room there.
+    if (placed.length >= most) break;
     if (best === undefined || best.id === failedOn || !isOpen(best))
       best = findBest(step, size, candidates, (worker) => worker.id !== failedOn && isOpen(worker));
     if (best === undefined) break;
--- a/packages/cell-process/src/bound-log.ts
+++ b/packages/cell-process/src/bound-log.ts
@@ -1,18 +1,24 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { EventLog } from '@acaciahoist/types/event-log';
 
-/** Lines a second in the long run, and lines that may come at once. Errors are never dropped. */
+/**
+ * Lines a second in the long run on a whole core, and lines that may come at once. A line takes some
+ * 60 µs, so that about a hundredth of the processor time is spent on them. Errors are never dropped.
+ */
 const LINES_PER_S = 150;
+const MIN_LINES_PER_S = 20;
 const BURST_LINES = 400;
 
 /** Bounds the volume of a log; says how many lines were left out as soon as there is room again. */
-export function boundLog(log: EventLog, clock: Clock): EventLog {
-  let room = BURST_LINES;
+export function boundLog(log: EventLog, clock: Clock, cores: number): EventLog {
+  const linesPerS = Math.max(MIN_LINES_PER_S, LINES_PER_S * Math.min(1, cores));
+  const burst = (BURST_LINES * linesPerS) / LINES_PER_S;
+  let room = burst;
   let refilledMs = clock.monotonicMs();
   let suppressed = 0;
   return (level, event, fields) => {
     const nowMs = clock.monotonicMs();
-    room = Math.min(BURST_LINES, room + ((nowMs - refilledMs) * LINES_PER_S) / 1_000);
+    room = Math.min(burst, room + ((nowMs - refilledMs) * linesPerS) / 1_000);
     refilledMs = nowMs;
     if (room < 1 && level !== 'error') {
       suppressed += 1;
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -23,6 +23,10 @@
 
 /** Time limit in ms of a call to the owner. A call takes 2 ms. */
 const OWNER_CALL_MS = 700;
+/** Others are asked beside the call when the owner has not answered within this time in ms. */
+const OWNER_PATIENCE_MS = 250;
+/** Larger delays of the owner in ms are not taken at their word. */
+const MAX_OWNER_DELAY_MS = 100;
 /** Time limit in ms of a question to another process. */
 const ASK_MS = 250;
 /** Processes that are asked at a time. */
@@ -47,6 +51,7 @@
   private pendingMs = Number.NEGATIVE_INFINITY;
   private pending = new Map<string, number>();
   private isCalling = false;
+  private delayMs = 0;
 
   private constructor(private readonly options: Options) {
     this.contactMs = options.clock.monotonicMs();
@@ -87,6 +92,11 @@
     return this.options.clock.monotonicMs() - this.contactMs;
   }
 
+  /** Delay in ms with which the owner gets to its work, as it last said. */
+  ownerDelayMs(): number {
+    return this.delayMs;
+  }
+
   /** Jobs of a queue that wait for their first start; undefined when that was not heard lately. */
   pendingOf(queue: string): number | undefined {
     if (this.options.clock.monotonicMs() - this.pendingMs > PENDING_AGE_MS) return undefined;
@@ -110,9 +120,13 @@
   async call(): Promise<void> {
     if (this.isCalling) return;
     this.isCalling = true;
+    const cancel = this.options.clock.after(OWNER_PATIENCE_MS, () => void this.search());
+    const startedMs = this.options.clock.monotonicMs();
     const isHeard = await this.callOwner();
+    cancel();
     this.isCalling = false;
-    if (!isHeard) await this.search();
+    const isAsked = this.options.clock.monotonicMs() - startedMs >= OWNER_PATIENCE_MS;
+    if (!isHeard && !isAsked) await this.search();
   }
 
   /** Asks some of the known processes, in turn, who owns the cell. */
@@ -147,6 +161,7 @@
     const reply = await peers.call(claim.address, 'offer-help', offer, OWNER_CALL_MS);
     if (reply.isErr) return false;
     this.take(reply.value);
+    this.delayMs = Math.min(MAX_OWNER_DELAY_MS, reply.value.loopDelayMs);
     onOwnerReply(claim, reply.value);
     return true;
   }
--- a/packages/cell-process/src/cell-metrics.ts
+++ b/packages/cell-process/src/cell-metrics.ts
@@ -12,6 +12,7 @@
   private readonly registry = new Registry();
   private readonly counters = new Map<string, Counter>();
   private readonly requests: Histogram;
+  private readonly loopDelay: Histogram;
 
   private constructor() {
     this.requests = new Histogram({
@@ -21,6 +22,12 @@
       buckets: BUCKETS_MS,
       registers: [this.registry],
     });
+    this.loopDelay = new Histogram({
+      name: 'loop_delay_ms',
+      help: 'Delay with which the process gets to its work',
+      buckets: BUCKETS_MS,
+      registers: [this.registry],
+    });
   }
 
   count(name: string, by = 1): void {
@@ -36,6 +43,10 @@
     this.requests.observe({ method, status: String(status) }, ms);
   }
 
+  observeLoopDelay(ms: number): void {
+    this.loopDelay.observe(ms);
+  }
+
   text(): Promise<string> {
     return this.registry.metrics();
   }
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -19,6 +19,7 @@
 import { CellContact } from './cell-contact.js';
 import { chooseStandbys } from './choose-standbys.js';
 import { isAdvice } from './is-advice.js';
+import { LoopDelay } from './loop-delay.js';
 import { OwnerFeed } from './owner-feed.js';
 import { ownerHint } from './owner-hint.js';
 import { OwnerTerm } from './owner-term.js';
@@ -32,6 +33,8 @@
   clock: Clock;
   log: EventLog;
   count: (name: string, by?: number) => void;
+  /** Takes each measured delay with which the process gets to its work, in ms. */
+  observeLoopDelay: (delayMs: number) => void;
   store: LogStore;
   /** Name of the machine, for logs. */
   name: string;
@@ -75,6 +78,8 @@
 const CONTACT_MS = 300;
 /** The same for one without: a hundred of them call one owner. */
 const THIN_CONTACT_MS = 500;
+/** Calls to the owner come later by this multiple of the delay with which it gets to its work. */
+const OWNER_DELAY_FACTOR = 3;
 /** Time in ms between two choices of the standbys. */
 const CHOICE_MS = 500;
 /** Pause in ms before a hint is read again that the store did not answer. */
@@ -92,7 +97,7 @@
 /** A process whose replica is older than this in ms asks others who owns the cell. */
 const SEARCH_AGE_MS = 500;
 /** A process without a replica that heard of nobody with one for this long in ms serves clients badly. */
-const CONTACT_AGE_MS = 1_200;
+const CONTACT_AGE_MS = 1_500;
 /** Longest time in ms that another process waits until this one has read the end of the log. */
 const TELL_SYNC_MS = 300;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
@@ -119,6 +124,7 @@
   private readonly ranking: MachineRanking;
   private readonly contact: CellContact;
   private readonly mode: ReplicaMode;
+  private readonly loopDelay: LoopDelay;
   private isHolding = true;
   private mayYieldFromMs = 0;
   private standbys: readonly (readonly [string, string])[] = [];
@@ -129,6 +135,7 @@
     this.self = `${name}/${incarnation}`;
     this.ranking = MachineRanking.create(clock, options.cores);
     this.mode = ReplicaMode.create(clock);
+    this.loopDelay = LoopDelay.create({ clock, observe: options.observeLoopDelay });
     this.contact = CellContact.create({
       clock,
       peers: options.peers,
@@ -162,7 +169,10 @@
       snapshots: this.snapshots,
       topic: topics.cell,
       retentionMs: options.retentionMs,
-      gapMs: () => (this.ownership.isOwning() ? OWNER_GAP_MS : FOLLOWER_GAP_MS),
+      gapMs: () =>
+        this.ownership.isOwning()
+          ? OWNER_GAP_MS
+          : FOLLOWER_GAP_MS + OWNER_DELAY_FACTOR * this.contact.ownerDelayMs(),
       onApplied: (record, effective) => {
         this.applied(record, effective);
       },
@@ -257,6 +267,7 @@
         if (claim?.address === address) this.ownership.suspect(claim.owner, 'refused');
       },
     );
+    this.loopDelay.start();
     void this.configurationFollower.run();
     void this.join();
   }
@@ -335,6 +346,7 @@
   }
 
   stop(): void {
+    this.loopDelay.stop();
     this.replica.stop();
     this.configurationFollower.stop();
     this.options.peers.stop();
@@ -351,6 +363,7 @@
       owning: this.ownership.isOwning(),
       holdsReplica: this.isHolding,
       contactAgeMs: Math.round(this.contact.ageMs()),
+      loopDelayMs: Math.round(this.loopDelay.ms()),
       replica: {
         nextOffset: state.nextOffset,
         ageMs: Math.round(this.replica.ageMs()),
@@ -395,6 +408,7 @@
       snapshots: this.snapshots,
       replica: this.replica,
       token,
+      loopDelayMs: () => this.loopDelay.ms(),
       onFenced: (by) => {
         this.ownership.fenced(by);
       },
@@ -411,7 +425,10 @@
   }
 
   private keepContact(): void {
-    this.options.clock.after(this.isHolding ? CONTACT_MS : THIN_CONTACT_MS, () => {
+    const intervalMs =
+      (this.isHolding ? CONTACT_MS : THIN_CONTACT_MS) +
+      OWNER_DELAY_FACTOR * this.contact.ownerDelayMs();
+    this.options.clock.after(intervalMs, () => {
       if (this.isStopping) return;
       void this.contact.call();
       void this.yieldToLarger();
@@ -498,6 +515,7 @@
       life: this.self,
       storeSilentMs: this.storeSilentMs(),
       largestCores: this.ranking.largest(),
+      loopDelayMs: this.loopDelay.ms(),
       claim: this.namedClaim(),
       standbys: this.term === undefined ? this.contact.knownStandbys() : this.standbys,
       isStandby: this.isChosen(address),
--- /dev/null
+++ b/packages/cell-process/src/loop-delay.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '@acaciahoist/clock';
+
+/** Interval in ms of the timer whose lateness is measured. */
+const INTERVAL_MS = 40;
+/** Weight of the newest measurement; several of them outweigh one pause. */
+const WEIGHT = 0.2;
+/** A longer delay in ms is a pause of the process, such as a freeze, and not a load that lasts. */
+const MAX_DELAY_MS = 200;
+
+interface Options {
+  clock: Clock;
+  observe: (delayMs: number) => void;
+}
+
+/**
+ * Delay with which this process gets to its work: how late its timers fire, smoothed. Work that can wait
+ * is done less often while it is high.
+ */
+export class LoopDelay {
+  static create(options: Options): LoopDelay {
+    return new LoopDelay(options);
+  }
+
+  private smoothedMs = 0;
+  private cancel: () => void = () => undefined;
+
+  private constructor(private readonly options: Options) {}
+
+  start(): void {
+    const { clock, observe } = this.options;
+    const dueMs = clock.monotonicMs() + INTERVAL_MS;
+    this.cancel = clock.after(INTERVAL_MS, () => {
+      const delayMs = Math.max(0, clock.monotonicMs() - dueMs);
+      observe(delayMs);
+      this.smoothedMs += (Math.min(delayMs, MAX_DELAY_MS) - this.smoothedMs) * WEIGHT;
+      this.start();
+    });
+  }
+
+  stop(): void {
+    this.cancel();
+  }
+
+  ms(): number {
+    return this.smoothedMs;
+  }
+}
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -67,6 +67,7 @@
   }
 
   start(): void {
+    this.options.snapshots.begin(`${this.options.token}`);
     this.repeat(0, limits.renewMs, () => {
       void this.renew();
     });
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -24,6 +24,8 @@
   decodeWorkerEntry: (id: string, data: Uint8Array) => WorkerEntry | undefined;
   connect: (entry: WorkerEntry) => WorkerClient;
   advise: AdviceClient;
+  /** Delay in ms with which the process gets to its work. */
+  loopDelayMs: () => number;
   /** The store or a worker has seen a higher token. */
   onFenced: (by: 'store' | 'worker') => void;
 }
@@ -76,6 +78,7 @@
         void this.log.append(records);
       },
       storeSilentMs: () => this.log.silentMs(),
+      loopDelayMs: options.loopDelayMs,
       connect: options.connect,
       advise: options.advise,
       onFenced: () => {
--- a/packages/cell-process/src/replica-mode.ts
+++ b/packages/cell-process/src/replica-mode.ts
@@ -1,9 +1,9 @@
 import type { Clock } from '@acaciahoist/clock';
 
 /** A process that hears of no replica for this long in ms holds one itself. */
-const LONE_MS = 800;
+const LONE_MS = 1_500;
 /** The same for a machine that is much smaller than others, which do it first. */
-const LONE_OUTRANKED_MS = 1_600;
+const LONE_OUTRANKED_MS = 2_500;
 /** A process that is told so for this long in ms gives its replica up; the choice may change again. */
 const DISMISSED_MS = 2_000;
 
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -18,6 +18,7 @@
     life: string,
     storeSilentMs: number,
     largestCores: number,
+    loopDelayMs: number,
     claim: nullable(object({ owner: string, address: string, token: number })),
     standbys: list(list(string, 2), MAX_STANDBYS),
     isStandby: nullable(boolean),
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -54,12 +54,14 @@
     request: { address: string; cores: number; dataCentre: string };
     /**
      * `life`: name and incarnation of the process that replies; time for which the store has owed it an
-     * answer; cores of the largest machine and newest claim that it knows.
+     * answer; cores of the largest machine and newest claim that it knows; delay with which it gets to
+     * its work.
      */
     reply: {
       life: string;
       storeSilentMs: number;
       largestCores: number;
+      loopDelayMs: number;
       claim: { owner: string; address: string; token: number } | null;
       /** Processes that hold a replica of the cell, with their data centres. */
       standbys: readonly (readonly [string, string])[];
