--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -265,8 +265,8 @@
       start: async (order) => {
         const sentMs = this.clock.monotonicMs();
         await this.spend(name);
-        const reply =
-          (await client()?.start(order)) ?? none({ kind: 'unknown', reason: 'cut off' });
+        const reply = await (client()?.start(order) ??
+          none<StartReply>({ kind: 'unknown', reason: 'cut off' }));
         // The worker has carried it out, but nobody waits for the answer any more.
         return this.clock.monotonicMs() - sentMs > START_LIMIT_MS
           ? { kind: 'unknown', reason: 'time limit' }
