Tell all processes of a new owner; let standbys know the workers

The new owner read and decoded the entries of 378 workers before it could connect to them, and had one lane to the advice service until others had found out who owned the cell, since the former owner, turned away by the store, still answered their calls. In a data centre that was cut off, processes said that they were ready for 1.5 s, and submissions waited for an owner out of reach.

Change: standbys follow the entries of workers and get the addresses of all processes; a new owner tells these, and they call it at once. A process that neither the store nor another process answers refuses at once, and is not ready after 0.9 s without an answer. Calls to the owner differ in their phase. A process that lost contact looks into the store for the owner.

--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -20,6 +20,7 @@
 
 interface Setup {
   append?: () => Promise<'appended' | 'refused' | 'unknown'>;
+  contactAgeMs?: number;
   storeSilentMs?: number;
   synced?: boolean;
   relayAppend?: () => Promise<'appended' | 'refused' | 'unknown'>;
@@ -38,6 +39,7 @@
     count: () => undefined,
     state: () => (setup.isThin === true ? undefined : state),
     replicaAgeMs: () => Number.POSITIVE_INFINITY,
+    contactAgeMs: () => setup.contactAgeMs ?? 0,
     storeSilentMs: () => setup.storeSilentMs ?? 0,
     sync: () => Promise.resolve(setup.synced ?? true),
     relayAppend: setup.relayAppend ?? ((): Promise<'refused'> => Promise.resolve('refused')),
@@ -228,3 +230,20 @@
   expect(create({ isThin: true, heardPending: 7 }).front.pendingOf('q')).toEqual(7);
   expect(create({ isThin: true }).front.pendingOf('q')).toEqual(undefined);
 });
+
+// Load pattern: a data centre that is cut off from the store and from all others. Guards against clients
+// that wait for an owner that cannot be reached, and then hear that their job may be stored.
+test('refuses at once while neither the store nor another process answers', async () => {
+  let relayed = 0;
+  const { front } = create({
+    storeSilentMs: 700,
+    contactAgeMs: 1_000,
+    relayAppend: () => {
+      relayed += 1;
+      return new Promise(() => undefined);
+    },
+  });
+  const result = await front.submit(job, 2_850);
+  expect(result.isErr && result.error.kind).toEqual(ErrorKind.logUnavailable);
+  expect(relayed).toEqual(0);
+});
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -20,6 +20,8 @@
   state: () => CellState | undefined;
   /** Age in ms of what the replica knows. */
   replicaAgeMs: () => number;
+  /** Time in ms since another process with a current replica answered. */
+  contactAgeMs: () => number;
   /** Time in ms since the store last answered. */
   storeSilentMs: () => number;
   /** Waits until the replica has all that is in the log now; false when that cannot be known. */
@@ -39,6 +41,8 @@
 
 /** A store that owes an answer for this long in ms is away: requests are refused at once. A slow one takes 400. */
 const STORE_AWAY_MS = 600;
+/** A process that heard of no other for this long in ms, and not of the store either, is cut off. */
+const CONTACT_LOST_MS = 900;
 /** A replica older than this in ms may show a job as running that has ended: the owner is asked. */
 const REPLICA_BEHIND_MS = 900;
 /** Bounds in ms of the wait before a second way is tried. A record takes 20 ms, 500 ms when the store is slow. */
@@ -159,6 +163,8 @@
    * and a store that is slow or busy takes few appends.
    */
   private async store(record: CellRecord): Promise<'appended' | 'refused' | 'unknown'> {
+    // Nothing is sent, so that the refusal is certain and the client may turn elsewhere at once.
+    if (this.isStoreAway() && this.options.contactAgeMs() > CONTACT_LOST_MS) return 'refused';
     const { clock, append, relayAppend, relayThroughStandby } = this.options;
     const sentMs = clock.monotonicMs();
     const direct = (): ReturnType<typeof append> => append(record);
--- a/packages/cell-log/src/keyed-follower.ts
+++ b/packages/cell-log/src/keyed-follower.ts
@@ -11,9 +11,9 @@
   /** Wait of a read in ms; 0 to look at intervals. */
   waitMs: number;
   /** Least time in ms between two reads. */
-  gapMs: number;
-  /** Time in ms after which all keys are read again; 0 for never. */
-  reloadMs: number;
+  gapMs: () => number;
+  /** Time in ms after which all keys are read again; infinite for never. */
+  reloadMs: () => number;
   onRecord: (record: KeyedRecord) => void;
   /** All keys that the topic holds at the moment. */
   onReloaded: (records: readonly KeyedRecord[]) => void;
@@ -32,22 +32,37 @@
   private isLost = false;
   private nextOffset: number | undefined;
   private reloadedMs = 0;
+  /** Ends the pause between two reads. */
+  private hurry: () => void = () => undefined;
 
   private constructor(private readonly options: Options) {}
 
   async run(): Promise<void> {
     const { clock, gapMs, reloadMs } = this.options;
     while (!this.isStopped) {
-      const isDue = reloadMs > 0 && clock.monotonicMs() - this.reloadedMs > reloadMs;
+      const isDue = clock.monotonicMs() - this.reloadedMs > reloadMs();
       const succeeded =
         this.nextOffset === undefined || isDue ? await this.reload() : await this.read();
       this.note(succeeded);
-      await new Promise<void>((resolve) => clock.after(succeeded ? gapMs : RETRY_MS, resolve));
+      await new Promise<void>((resolve) => {
+        const cancel = clock.after(succeeded ? gapMs() : RETRY_MS, resolve);
+        this.hurry = (): void => {
+          cancel();
+          resolve();
+        };
+      });
     }
   }
 
   stop(): void {
     this.isStopped = true;
+    this.hurry();
+  }
+
+  /** Reads all keys again without waiting for the interval. */
+  reloadSoon(): void {
+    this.reloadedMs = Number.NEGATIVE_INFINITY;
+    this.hurry();
   }
 
   private async reload(): Promise<boolean> {
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -24,7 +24,7 @@
 /** Time limit in ms of a call to the owner. A call takes 2 ms. */
 const OWNER_CALL_MS = 700;
 /** Others are asked beside the call when the owner has not answered within this time in ms. */
-const OWNER_PATIENCE_MS = 250;
+const OWNER_PATIENCE_MS = 200;
 /** Larger delays of the owner in ms are not taken at their word. */
 const MAX_OWNER_DELAY_MS = 100;
 /** Time limit in ms of a question to another process. */
@@ -46,6 +46,7 @@
 
   private claim: Claim | undefined;
   private standbys: readonly (readonly [address: string, dataCentre: string])[] = [];
+  private others: readonly string[] = [];
   private asked = 0;
   private contactMs: number;
   private pendingMs = Number.NEGATIVE_INFINITY;
@@ -66,6 +67,13 @@
     if (standbys.length > 0) this.standbys = standbys;
   }
 
+  /** Tells all processes that the last owner knew of that this one owns the cell now. */
+  proclaim(claim: Claim): void {
+    for (const address of this.others)
+      if (address !== this.options.ownAddress)
+        void this.options.peers.call(address, 'owner-changed', { claim }, ASK_MS);
+  }
+
   knownStandbys(): Reply['standbys'] {
     return this.standbys;
   }
@@ -169,6 +177,7 @@
   private take(reply: Reply): void {
     this.heardClaim(reply.claim);
     this.heardStandbys(reply.standbys);
+    if (reply.others.length > 0) this.others = reply.others;
     if (reply.pending === null) return;
     const nowMs = this.options.clock.monotonicMs();
     this.contactMs = nowMs;
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -28,6 +28,7 @@
 import type { PeerCalls } from './peer-calls.js';
 import { Relay } from './relay.js';
 import { ReplicaMode } from './replica-mode.js';
+import { WorkerDirectory } from './worker-directory.js';
 
 interface Options {
   clock: Clock;
@@ -77,11 +78,15 @@
 /** Interval in ms of calls to the owner by a process with a replica; also finds an owner whose process is gone. */
 const CONTACT_MS = 300;
 /** The same for one without: a hundred of them call one owner. */
-const THIN_CONTACT_MS = 500;
+const THIN_CONTACT_MS = 400;
+/** Share of the random delay of claims by which the interval of calls to the owner differs. */
+const CONTACT_JITTER_SHARE = 0.25;
 /** Calls to the owner come later by this multiple of the delay with which it gets to its work. */
 const OWNER_DELAY_FACTOR = 3;
 /** Time in ms between two choices of the standbys. */
 const CHOICE_MS = 500;
+/** Interval in ms at which a standby is told of all processes. */
+const TELL_OTHERS_MS = 2_000;
 /** Pause in ms before a hint is read again that the store did not answer. */
 const HINT_RETRY_MS = 150;
 /** Additional wait in ms of a small machine before it claims: a larger one claims within the jitter. */
@@ -96,8 +101,10 @@
 const FEED_AGE_MS = 600;
 /** A process whose replica is older than this in ms asks others who owns the cell. */
 const SEARCH_AGE_MS = 500;
+/** A process without a replica that heard of nobody with one for this long in ms looks for the owner in the store. */
+const LOST_CONTACT_MS = 700;
 /** A process without a replica that heard of nobody with one for this long in ms serves clients badly. */
-const CONTACT_AGE_MS = 1_500;
+const CONTACT_AGE_MS = 900;
 /** Longest time in ms that another process waits until this one has read the end of the log. */
 const TELL_SYNC_MS = 300;
 /** A replica older than this in ms makes the process not ready: another one serves better. */
@@ -125,10 +132,13 @@
   private readonly contact: CellContact;
   private readonly mode: ReplicaMode;
   private readonly loopDelay: LoopDelay;
+  private readonly workers: WorkerDirectory;
   private isHolding = true;
   private mayYieldFromMs = 0;
   private standbys: readonly (readonly [string, string])[] = [];
   private chosenMs = Number.NEGATIVE_INFINITY;
+  /** When each standby was last told of all processes, by its address. */
+  private readonly toldMs = new Map<string, number>();
 
   private constructor(private readonly options: Options) {
     const { clock, log, store, topics, name, incarnation } = options;
@@ -153,6 +163,13 @@
     });
     const { self } = this;
     this.snapshots = SnapshotStore.create({ store, topic: topics.snapshots, log });
+    this.workers = WorkerDirectory.create({
+      clock,
+      log,
+      store,
+      topic: topics.workers,
+      decode: options.decodeWorkerEntry,
+    });
     const feed = OwnerFeed.create({
       clock,
       log,
@@ -223,6 +240,7 @@
       count: options.count,
       state: () => (this.isHolding ? this.replica.state : undefined),
       replicaAgeMs: () => this.replica.ageMs(),
+      contactAgeMs: () => this.contact.ageMs(),
       storeSilentMs: () => this.storeSilentMs(),
       sync: (timeoutMs) => this.replica.sync(timeoutMs),
       append: (record) => this.appendForClient(recordCodec.encode(record)),
@@ -238,8 +256,8 @@
       log,
       topic: topics.configuration,
       waitMs: CONFIGURATION_WAIT_MS,
-      gapMs: 0,
-      reloadMs: 0,
+      gapMs: () => 0,
+      reloadMs: () => Number.POSITIVE_INFINITY,
       onRecord: (record) => {
         this.takeConfiguration(record.key, record.value);
       },
@@ -252,6 +270,10 @@
   async start(): Promise<void> {
     const service = PeerService.create({
       helpOffered: (offer) => this.takeOffer(offer),
+      ownerChanged: (claim) => {
+        this.contact.heardClaim(claim);
+        void this.contact.call();
+      },
       append: (data) =>
         this.storeSilentMs() < RELAY_STORE_SILENT_MS
           ? this.appendForClient(data)
@@ -290,6 +312,7 @@
       if (this.ranking.isOutranked()) this.mode.beginWithout();
     }
     this.applyMode();
+    if (this.isHolding) this.workers.open();
     void this.replica.run();
     this.ownership.start();
     this.keepContact();
@@ -349,6 +372,7 @@
     this.loopDelay.stop();
     this.replica.stop();
     this.configurationFollower.stop();
+    this.workers.close();
     this.options.peers.stop();
   }
 
@@ -400,12 +424,14 @@
   private becomeOwner(token: number): void {
     const { log } = this.options;
     this.ceaseOwner('claimed anew');
+    this.ranking.forgetReported();
     this.standbys = [];
     this.chosenMs = Number.NEGATIVE_INFINITY;
     log('info', 'owner-started', { token, jobs: this.replica.state.jobs.size });
     this.term = OwnerTerm.create({
       ...this.options,
       snapshots: this.snapshots,
+      workers: this.workers,
       replica: this.replica,
       token,
       loopDelayMs: () => this.loopDelay.ms(),
@@ -414,6 +440,8 @@
       },
     });
     this.term.start();
+    const claim = this.namedClaim();
+    if (claim !== null) this.contact.proclaim(claim);
     this.announce();
   }
 
@@ -427,18 +455,29 @@
   private keepContact(): void {
     const intervalMs =
       (this.isHolding ? CONTACT_MS : THIN_CONTACT_MS) +
-      OWNER_DELAY_FACTOR * this.contact.ownerDelayMs();
+      OWNER_DELAY_FACTOR * this.contact.ownerDelayMs() +
+      // Processes that started together must not call the owner at the same moments for ever.
+      this.options.claimJitterMs * CONTACT_JITTER_SHARE;
     this.options.clock.after(intervalMs, () => {
       if (this.isStopping) return;
       void this.contact.call();
       void this.yieldToLarger();
       if (this.isHolding && this.replica.ageMs() > SEARCH_AGE_MS) void this.contact.search();
+      if (!this.isHolding && this.contact.ageMs() > LOST_CONTACT_MS) void this.readHint();
       this.applyMode();
       this.announce();
       this.keepContact();
     });
   }
 
+  /** Looks in the store for an owner that nobody names; also finds out whether the store answers. */
+  private async readHint(): Promise<void> {
+    const hint = await ownerHint.read(this.options.store, this.options.topics.hints);
+    if (hint === null || hint === undefined) return;
+    this.contact.heardClaim(hint.claim);
+    this.contact.heardStandbys(hint.standbys);
+  }
+
   /** Begins or ends to hold a replica as the mode says. */
   private applyMode(): void {
     const isHolding = this.mode.decide({
@@ -452,8 +491,13 @@
       contactAgeMs: Math.round(this.contact.ageMs()),
       owner: this.contact.newestClaim()?.owner ?? null,
     });
-    if (isHolding) this.replica.resume();
-    else this.replica.pause();
+    if (isHolding) {
+      this.workers.open();
+      this.replica.resume();
+    } else {
+      this.workers.close();
+      this.replica.pause();
+    }
   }
 
   /** The owner, or who was taken for it, answered: notices a process that was replaced by another life. */
@@ -518,6 +562,7 @@
       loopDelayMs: this.loopDelay.ms(),
       claim: this.namedClaim(),
       standbys: this.term === undefined ? this.contact.knownStandbys() : this.standbys,
+      others: this.othersFor(address),
       isStandby: this.isChosen(address),
       pending: isCurrent ? this.countPending() : null,
     };
@@ -529,6 +574,15 @@
     return this.standbys.some(([standby]) => standby === address);
   }
 
+  /** A standby learns of all processes, to tell them when it takes the cell over. */
+  private othersFor(address: string): readonly string[] {
+    if (this.isChosen(address) !== true) return [];
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs - (this.toldMs.get(address) ?? Number.NEGATIVE_INFINITY) < TELL_OTHERS_MS) return [];
+    this.toldMs.set(address, nowMs);
+    return this.ranking.list().map((other) => other.address);
+  }
+
   private countPending(): (readonly [string, number])[] {
     return [...this.replica.state.pending].filter(([, count]) => count > 0);
   }
--- a/packages/cell-process/src/machine-ranking.test.ts
+++ b/packages/cell-process/src/machine-ranking.test.ts
@@ -16,4 +16,7 @@
   expect(ranking.isOutranked()).toEqual(false);
   ranking.largestReported(1.35);
   expect([ranking.isOutranked(), ranking.largest()]).toEqual([true, 1.35]);
+  // The larger machine may be the former owner, which has died.
+  ranking.forgetReported();
+  expect(ranking.isOutranked()).toEqual(false);
 });
--- a/packages/cell-process/src/machine-ranking.ts
+++ b/packages/cell-process/src/machine-ranking.ts
@@ -39,6 +39,11 @@
     this.reported = { cores, atMs: this.clock.monotonicMs() };
   }
 
+  /** This process owns the cell now: only machines that report themselves to it count. */
+  forgetReported(): void {
+    this.reported = undefined;
+  }
+
   /** Processes that reported themselves lately. */
   list(): (Machine & { address: string })[] {
     const oldestMs = this.clock.monotonicMs() - SILENCE_MS;
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -1,7 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
 import type { CellReplica } from '@acaciahoist/cell-log';
-import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
 import type { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
 import { CellOwner } from '@acaciahoist/cell-owner';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
@@ -11,17 +10,18 @@
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { OwnerLog } from './owner-log.js';
+import type { WorkerDirectory } from './worker-directory.js';
 
 interface Options {
   clock: Clock;
   log: EventLog;
   count: (name: string, by?: number) => void;
   store: LogStore;
-  topics: { cell: string; snapshots: string; hints: string; workers: string };
+  topics: { cell: string; snapshots: string; hints: string };
   snapshots: SnapshotStore;
   replica: CellReplica;
   token: number;
-  decodeWorkerEntry: (id: string, data: Uint8Array) => WorkerEntry | undefined;
+  workers: WorkerDirectory;
   connect: (entry: WorkerEntry) => WorkerClient;
   advise: AdviceClient;
   /** Delay in ms with which the process gets to its work. */
@@ -30,10 +30,6 @@
   onFenced: (by: 'store' | 'worker') => void;
 }
 
-/** Time in ms between two reads of worker entries; a drain must be known well within 2 s. */
-const WORKERS_GAP_MS = 250;
-/** Entries are read again in full at this interval in ms, so that missing ones are noticed. */
-const WORKERS_RELOAD_MS = 2_500;
 /** A new owner has heard of all other processes after this time in ms. */
 const MIN_OWNED_MS = 1_500;
 /** Longest time in ms that a stopping owner waits until its release is stored. */
@@ -48,7 +44,6 @@
   readonly startedMs: number;
   private readonly log: OwnerLog;
   private readonly owner: CellOwner;
-  private readonly workers: KeyedFollower;
 
   private constructor(private readonly options: Options) {
     const { clock, log, count, store, topics, snapshots, replica, token, onFenced } = options;
@@ -85,34 +80,28 @@
         onFenced('worker');
       },
     });
-    this.workers = KeyedFollower.create({
-      clock,
-      store,
-      log,
-      topic: topics.workers,
-      waitMs: 0,
-      gapMs: WORKERS_GAP_MS,
-      reloadMs: WORKERS_RELOAD_MS,
-      onRecord: (record) => {
-        this.takeWorker(record.key, record.value);
-      },
-      onReloaded: (records) => {
-        for (const record of records) this.takeWorker(record.key, record.value);
-        this.owner.workersPresent(new Set(records.map((record) => record.key)));
-      },
-    });
   }
 
   start(): void {
     this.log.start();
     this.owner.start();
-    void this.workers.run();
+    this.options.workers.attach({
+      seen: (entry) => {
+        this.owner.workerSeen(entry);
+      },
+      missing: (id) => {
+        this.owner.workerMissing(id);
+      },
+      present: (ids) => {
+        this.owner.workersPresent(ids);
+      },
+    });
   }
 
   stop(): void {
     this.owner.stop();
     this.log.stop();
-    this.workers.stop();
+    this.options.workers.detach();
   }
 
   /** Stops the work and records that another process may claim the cell. */
@@ -151,15 +140,4 @@
   describe(): Record<string, unknown> {
     return this.owner.describe();
   }
-
-  private takeWorker(id: string, value: Uint8Array | undefined): void {
-    if (value === undefined) {
-      this.owner.workerMissing(id);
-      return;
-    }
-    const entry = this.options.decodeWorkerEntry(id, value);
-    if (entry === undefined)
-      this.options.log('warn', 'worker-entry-unreadable', { worker: id, bytes: value.byteLength });
-    else this.owner.workerSeen(entry);
-  }
 }
--- a/packages/cell-process/src/peer-calls.ts
+++ b/packages/cell-process/src/peer-calls.ts
@@ -9,7 +9,10 @@
     handle: (type: string, body: unknown) => Promise<Result<unknown, Failure>>,
     onRefused: (address: string) => void,
   ): Promise<void>;
-  call<Type extends 'offer-help' | 'advise' | 'relay-record' | 'relay-outcome' | 'read-log'>(
+  call<
+    Type extends
+      'offer-help' | 'owner-changed' | 'advise' | 'relay-record' | 'relay-outcome' | 'read-log',
+  >(
     address: string,
     type: Type,
     body: PeerCallMap[Type]['request'],
--- a/packages/cell-process/src/peer-service.ts
+++ b/packages/cell-process/src/peer-service.ts
@@ -11,6 +11,8 @@
 interface Options {
   /** Another process offers help; returns what it learns about this one. */
   helpOffered: (offer: Request<'offer-help'>) => Reply<'offer-help'>;
+  /** Another process says that it owns the cell. */
+  ownerChanged: (claim: Request<'owner-changed'>['claim']) => void;
   /** Appends a record for a process that the store does not answer. */
   append: (data: Uint8Array) => Promise<AppendOutcome>;
   /** State of a job; undefined when the replica is behind. */
@@ -32,6 +34,9 @@
     switch (type) {
       case 'offer-help':
         return Result.ok(this.options.helpOffered(body as Request<'offer-help'>));
+      case 'owner-changed':
+        this.options.ownerChanged((body as Request<'owner-changed'>).claim);
+        return Result.ok({});
       case 'relay-record':
         return Result.ok({
           outcome: await this.options.append((body as Request<'relay-record'>).data),
--- /dev/null
+++ b/packages/cell-process/src/worker-directory.ts
@@ -0,0 +1,105 @@
+import type { Clock } from '@acaciahoist/clock';
+import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
+import type { EventLog } from '@acaciahoist/types/event-log';
+
+interface Options {
+  clock: Clock;
+  log: EventLog;
+  store: Pick<LogStore, 'newest' | 'read' | 'decodeKeyed'>;
+  topic: string;
+  decode: (id: string, data: Uint8Array) => WorkerEntry | undefined;
+}
+
+/** Who takes the entries while this process owns the cell. */
+interface Reader {
+  seen: (entry: WorkerEntry) => void;
+  missing: (id: string) => void;
+  /** All entries that are present. */
+  present: (ids: ReadonlySet<string>) => void;
+}
+
+/** Time in ms between two reads for an owner; a drain must be known well within 2 s. */
+const OWNER_GAP_MS = 250;
+/** The same for a standby, which only wants to begin with most of the entries. */
+const STANDBY_GAP_MS = 1_000;
+/** Entries are read again in full at this interval in ms, so that missing ones are noticed. */
+const OWNER_RELOAD_MS = 2_500;
+const STANDBY_RELOAD_MS = 10_000;
+
+/**
+ * The entries of the workers. Standbys follow them too: a new owner that first had to read the entries
+ * of hundreds of workers would start nothing meanwhile.
+ */
+export class WorkerDirectory {
+  static create(options: Options): WorkerDirectory {
+    return new WorkerDirectory(options);
+  }
+
+  private readonly entries = new Map<string, WorkerEntry>();
+  private reader: Reader | undefined;
+  private follower: KeyedFollower | undefined;
+
+  private constructor(private readonly options: Options) {}
+
+  /** Begins to follow the entries. */
+  open(): void {
+    if (this.follower !== undefined) return;
+    const { clock, log, store, topic } = this.options;
+    this.follower = KeyedFollower.create({
+      clock,
+      store,
+      log,
+      topic,
+      waitMs: 0,
+      gapMs: () => (this.reader === undefined ? STANDBY_GAP_MS : OWNER_GAP_MS),
+      reloadMs: () => (this.reader === undefined ? STANDBY_RELOAD_MS : OWNER_RELOAD_MS),
+      onRecord: (record) => {
+        this.take(record.key, record.value);
+      },
+      onReloaded: (records) => {
+        const present = new Set(records.map((record) => record.key));
+        for (const id of this.entries.keys()) if (!present.has(id)) this.entries.delete(id);
+        for (const record of records) this.take(record.key, record.value);
+        this.reader?.present(present);
+      },
+    });
+    void this.follower.run();
+  }
+
+  /** Stops following, and forgets the entries. */
+  close(): void {
+    this.follower?.stop();
+    this.follower = undefined;
+    this.entries.clear();
+  }
+
+  /** Hands all entries to the owner of the cell, as they are known and from the store as soon as possible. */
+  attach(reader: Reader): void {
+    this.open();
+    this.reader = reader;
+    for (const entry of this.entries.values()) reader.seen(entry);
+    this.follower?.reloadSoon();
+  }
+
+  detach(): void {
+    this.reader = undefined;
+  }
+
+  private take(id: string, value: Uint8Array | undefined): void {
+    if (value === undefined) {
+      this.entries.delete(id);
+      this.reader?.missing(id);
+      return;
+    }
+    const entry = this.options.decode(id, value);
+    if (entry === undefined) {
+      const { log } = this.options;
+      log('warn', 'worker-entry-unreadable', { worker: id, bytes: value.byteLength });
+      return;
+    }
+    this.entries.set(id, entry);
+    this.reader?.seen(entry);
+  }
+}
--- a/packages/entry/src/peer-service.ts
+++ b/packages/entry/src/peer-service.ts
@@ -48,6 +48,7 @@
       Promise.resolve(Result.err(Failure.create(ErrorKind.badRequest, 'not served in this role')));
     this.handlers = {
       'offer-help': notServed,
+      'owner-changed': notServed,
       advise: notServed,
       'relay-record': notServed,
       'relay-outcome': notServed,
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -6,6 +6,7 @@
 
 /** Most processes, queues and records that a reply lists. */
 const MAX_STANDBYS = 64;
+const MAX_PROCESSES = 2_000;
 const MAX_QUEUES = 10_000;
 const MAX_RECORDS = 20_000;
 
@@ -21,9 +22,11 @@
     loopDelayMs: number,
     claim: nullable(object({ owner: string, address: string, token: number })),
     standbys: list(list(string, 2), MAX_STANDBYS),
+    others: list(string, MAX_PROCESSES),
     isStandby: nullable(boolean),
     pending: nullable(list(list(any, 2), MAX_QUEUES)),
   }),
+  'owner-changed': object({}),
   advise: object({ advice: any }),
   'relay-record': object({ outcome: string }),
   'relay-outcome': object({ outcome: string, isAbsent: boolean }),
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -81,6 +81,7 @@
   }),
   'fence-slots': object({ partition: string, token: number }),
   'offer-help': object({ address: string, cores: number, dataCentre: string }),
+  'owner-changed': object({ claim: object({ owner: string, address: string, token: number }) }),
   advise: object({ step: string, workers: list(string, 256), timeoutMs: number }),
   'relay-record': object({ data: bytes }),
   'relay-outcome': object({ job: string }),
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -65,12 +65,19 @@
       claim: { owner: string; address: string; token: number } | null;
       /** Processes that hold a replica of the cell, with their data centres. */
       standbys: readonly (readonly [string, string])[];
+      /** Addresses of all processes that the owner heard of; empty unless the sender is a standby. */
+      others: readonly string[];
       /** True when the sender is to hold a replica, false when not, null when the owner has to say it. */
       isStandby: boolean | null;
       /** Jobs that wait for their first start, by queue; null from a process whose replica is not current. */
       pending: readonly (readonly [string, number])[] | null;
     };
   };
+  /** Sent by a new owner to all processes that it knows of. */
+  'owner-changed': {
+    request: { claim: { owner: string; address: string; token: number } };
+    reply: Record<string, never>;
+  };
   /** Sent by a process that the store turns away: the receiver appends the record in its place. */
   'relay-record': { request: { data: Uint8Array }; reply: { outcome: string } };
   /** Sent by a follower: records of the cell log from an offset on, as the owner has read them. */
