--- a/packages/cell-planner/src/index.ts
+++ b/packages/cell-planner/src/index.ts
@@ -52,6 +52,8 @@
       continue;
     }
     if (budget.starts <= 0) continue;
+    const mayFit = index.mayHold(step, size, step.step.gang ? step.waiting.length : 1);
+    if (!mayFit && (!step.step.gang || !mayReserve())) continue;
     const allowed = index.allowedFor(step);
     const ticketed = allowed.filter((worker) => hasTicket(step, worker, nowMs));
     const ledger = RoomLedger.create(reservations, step);
@@ -64,6 +66,10 @@
     reservations: reservations.map(({ key, fitsInMs }) => ({ key, fitsInMs })),
   };
 
+  function mayReserve(): boolean {
+    return reservations.length < MAX_RESERVATIONS && searches < MAX_RESERVATION_SEARCHES;
+  }
+
   function mayAsk(step: ReadyStep): boolean {
     return step.advice?.isAsked === false && budget[askKindOf(step)] > 0;
   }
@@ -102,7 +108,9 @@
     ticketed: readonly PlannedWorker[],
     ledger: RoomLedger,
   ): void {
-    const placed = placeGang(step, size, ticketed, (worker) => ledger.roomFor(worker));
+    const placed = index.mayHold(step, size, step.waiting.length)
+      ? placeGang(step, size, ticketed, (worker) => ledger.roomFor(worker))
+      : undefined;
     if (placed !== undefined) {
       budget.starts -= placed.length;
       const byId = new Map(ticketed.map((worker) => [worker.id, worker]));
@@ -114,7 +122,7 @@
       return;
     }
     const isAskedNow = mayAsk(step) && someUnnamedCouldFit(step, size) && ask(step, size);
-    if (reservations.length >= MAX_RESERVATIONS || searches >= MAX_RESERVATION_SEARCHES) return;
+    if (!mayReserve()) return;
     searches += 1;
     const reservation = reserveGang(step, size, allowed);
     if (reservation === undefined) return;
--- a/packages/cell-planner/src/worker-index.ts
+++ b/packages/cell-planner/src/worker-index.ts
@@ -1,6 +1,13 @@
 import { canRunOn } from './can-run-on.js';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
+import type { Room } from './room.js';
+
+/** Workers in order of their free processors when the order was made. */
+interface Roomiest {
+  workers: readonly PlannedWorker[];
+  freeAtStart: readonly number[];
+}
 
 /**
  * Startable workers by id and by service. Load pattern: hundreds of waiting steps on hundreds of
@@ -14,7 +21,7 @@
 
   private readonly byId = new Map<string, PlannedWorker>();
   private readonly byKind = new Map<string, readonly PlannedWorker[]>();
-  private readonly byRoom = new Map<string, readonly PlannedWorker[]>();
+  private readonly byRoom = new Map<string, Roomiest>();
   private readonly startable: readonly PlannedWorker[];
 
   private constructor(workers: readonly PlannedWorker[]) {
@@ -35,16 +42,36 @@
 
   /** The same, those with the most free processors at the start of the round first. */
   roomiestFor(step: ReadyStep): readonly PlannedWorker[] {
+    return this.roomiest(step).workers;
+  }
+
+  /**
+   * False when so many tasks of this size cannot find room, by the processors at the start of the round
+   * alone and whatever advice allows. Rules out most steps of a full cell.
+   */
+  mayHold(step: ReadyStep, size: Room, tasks: number): boolean {
+    if (size.millicores === 0) return true;
+    let missing = tasks;
+    for (const freeMillicores of this.roomiest(step).freeAtStart) {
+      if (freeMillicores < size.millicores) return false;
+      missing -= Math.floor(freeMillicores / size.millicores);
+      if (missing <= 0) return true;
+    }
+    return false;
+  }
+
+  private roomiest(step: ReadyStep): Roomiest {
     const kind = kindOf(step);
-    let sorted = this.byRoom.get(kind);
-    if (sorted === undefined) {
-      sorted = [...this.eligibleFor(step)].sort(
+    let found = this.byRoom.get(kind);
+    if (found === undefined) {
+      const workers = [...this.eligibleFor(step)].sort(
         (left, right) =>
           right.free.millicores - left.free.millicores || (left.id < right.id ? -1 : 1),
       );
-      this.byRoom.set(kind, sorted);
+      found = { workers, freeAtStart: workers.map((worker) => worker.free.millicores) };
+      this.byRoom.set(kind, found);
     }
-    return sorted;
+    return found;
   }
 
   /** Workers that the step may start on, whether their tickets are still valid or not. */
