--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -16,7 +16,7 @@
   /** True for records that must reach the log in the end; false to hand a refusal to the caller. */
   insists: boolean;
   /** Time in ms for which a record waits for others, so that one call takes them all. */
-  lingerMs?: number;
+  lingerMs?: () => number;
   onFenced: () => void;
   /** Records are in the topic from `offset` on, by an append that was sent at `sentMs`. */
   onAppended?: (offset: number, records: readonly Uint8Array[], sentMs: number) => void;
@@ -103,7 +103,7 @@
   private proceed(): void {
     if (this.isClosed) this.refuseWaiting();
     if (this.waiting.length === 0 || this.isLingering || this.isWindowFull()) return;
-    const { clock, lingerMs = 0 } = this.options;
+    const { clock } = this.options;
     const newest = this.open.at(-1);
     if (newest !== undefined) {
       const overtakeMs = Math.max(MIN_OVERTAKE_MS, this.answerMs * OVERTAKE_SHARE);
@@ -116,6 +116,7 @@
         return;
       }
     }
+    const lingerMs = this.options.lingerMs?.() ?? 0;
     if (lingerMs === 0) {
       this.launch();
       return;
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -10,6 +10,10 @@
   clockMarginMs: 300,
   /** Wait of a hold call: at most one look a second at a worker whose runs go on. */
   holdWaitMs: 1_000,
+  /** The same while the process is busy; the platform allows 2 s. */
+  busyHoldWaitMs: 2_000,
+  /** A process that gets to its work this late is busy. */
+  busyDelayMs: 15,
   /** Pause after a hold call that returned ends, so that one look serves several of them. */
   holdGapMs: 80,
   /** The pause grows by this multiple of the delay of the process. */
@@ -18,8 +22,8 @@
   firstWorkersMs: 500,
   /** Pause after a hold call that failed. */
   holdRetryMs: 150,
-  /** A worker that answered nothing for this long takes no starts. */
-  silentWorkerMs: 1_500,
+  /** A worker that answered nothing for this long after the wait of its call takes no starts. */
+  silentWorkerMs: 500,
   /** Time for which a worker that refused a start as unhealthy takes none. */
   unhealthyPauseMs: 1_000,
   /** A run without any progress for this long, at a worker that answers, stands still. */
@@ -35,7 +39,7 @@
   /** Least time between two planning rounds. */
   planGapMs: 12,
   /** A round is followed by a pause of this many times its length, in which calls are answered. */
-  planRestFactor: 2,
+  planRestFactor: 3,
   /** A planning round runs at least this often: tickets expire and set times come. */
   planTickMs: 100,
   /** Records that wait this long to come back show a store that is away: no more starts are decided. */
@@ -46,6 +50,8 @@
   renewMs: 250,
   /** Time for which a decision waits for others before it is appended; halves the calls to the store. */
   lingerMs: 8,
+  /** It waits longer by the delay of the process, up to this. */
+  maxLingerMs: 40,
   /** Interval of snapshots; the log keeps 20 s. */
   snapshotMs: 4_000,
   /** An entry that was removed names a worker still for this long: entries come back within 2 s. */
--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -1,7 +1,6 @@
 import type { EndedRun } from '@acaciahoist/cell-types/ended-run';
 import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
-import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
 import { PaceDesk } from './pace-desk.js';
 import type { RunJudge } from './run-judge.js';
@@ -49,7 +48,7 @@
         view.settledMs = nowMs;
       }
       // What the worker did while it did not answer says nothing about its speed.
-      if (row.percent !== view.percent || unseenMs > limits.silentWorkerMs) {
+      if (row.percent !== view.percent || unseenMs > link.silenceLimitMs) {
         view.percent = row.percent;
         view.percentAtMs = nowMs;
       }
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -44,6 +44,8 @@
   seenEnd = 0;
   /** Ends up to this number are recorded. */
   acknowledgedEnd = 0;
+  /** Wait in ms of the newest hold call. */
+  private waitMs: number = limits.holdWaitMs;
   private isStopped = false;
   private isLooking = false;
   private answeredMs: number;
@@ -75,7 +77,7 @@
       !this.entry.draining &&
       !this.isMissing() &&
       this.clockReading !== undefined &&
-      this.silentMs() < limits.silentWorkerMs &&
+      this.silentMs() < this.silenceLimitMs &&
       this.options.clock.monotonicMs() >= this.pausedUntilMs
     );
   }
@@ -106,13 +108,24 @@
         // A worker out of reach gets no new leases: what runs there is over when the last one is.
         leaseUntilMs: this.isReachable ? this.grantLease() : 0,
         acknowledgedEnd: this.acknowledgedEnd,
-        waitMs: this.clockReading === undefined || !this.isReachable ? 0 : limits.holdWaitMs,
+        waitMs: this.clockReading === undefined || !this.isReachable ? 0 : this.nextWaitMs(),
       });
       const pauseMs = this.take(reply, sentMs);
       if (pauseMs > 0) await new Promise<void>((resolve) => clock.after(pauseMs, resolve));
     }
   }
 
+  /** Time in ms without an answer after which nothing is known of the worker. */
+  get silenceLimitMs(): number {
+    return this.waitMs + limits.silentWorkerMs;
+  }
+
+  private nextWaitMs(): number {
+    const isBusy = this.options.loopDelayMs() > limits.busyDelayMs;
+    this.waitMs = isBusy ? limits.busyHoldWaitMs : limits.holdWaitMs;
+    return this.waitMs;
+  }
+
   /** Looks at once beside the call that waits; for runs whose fate is not known. */
   async look(): Promise<void> {
     const { clock, client, token } = this.options;
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -19,6 +19,8 @@
   snapshots: SnapshotStore;
   state: () => CellState;
   onFenced: () => void;
+  /** Delay in ms with which the process gets to its work. */
+  loopDelayMs: () => number;
   /** Records are in the cell log from `offset` on, by an append that was sent at `sentMs`. */
   onAppended: (offset: number, records: readonly Uint8Array[], sentMs: number) => void;
 }
@@ -49,7 +51,7 @@
       topic: topics.cell,
       producer,
       sequence: 1,
-      lingerMs: limits.lingerMs,
+      lingerMs: () => Math.min(limits.maxLingerMs, limits.lingerMs + options.loopDelayMs()),
       onAppended: options.onAppended,
     });
     this.snapshotRecords = Appender.create({
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -56,6 +56,7 @@
       token,
       snapshots,
       state: () => replica.state,
+      loopDelayMs: options.loopDelayMs,
       onFenced: () => {
         onFenced('store');
       },
