--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -72,6 +72,11 @@
     });
   }
 
+  /** Ends the observation of the owner until `start`: this process follows the log no more. */
+  rest(): void {
+    this.cancelTick();
+  }
+
   stop(): void {
     this.cancelTick();
     this.machine.send({ type: 'STOP' });
--- a/packages/cell-process/src/create-peer-calls.ts
+++ b/packages/cell-process/src/create-peer-calls.ts
@@ -5,8 +5,11 @@
 import type { ProcessIdentity } from '@acaciahoist/types/process-identity';
 import type { PeerCalls } from './peer-calls.js';
 
-/** Limits of connections between the processes, in ms: a silent one is replaced within 2 s. */
-const LINK = { probeMs: 1_000, probeTimeoutMs: 700, connectTimeoutMs: 700 } as const;
+/**
+ * Limits of connections between the processes, in ms. A connection on which a call was not answered is
+ * probed at once; idle ones are probed seldom, since most processes keep several of them.
+ */
+const LINK = { probeMs: 5_000, probeTimeoutMs: 700, connectTimeoutMs: 700 } as const;
 const MAX_CONNECTIONS = 256;
 
 /** Calls over kept WebSocket connections. */
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -316,10 +316,10 @@
       // A much smaller machine leaves a cell that lost its owner to the larger ones first.
       if (this.ranking.isOutranked()) this.mode.beginWithout();
     }
+    this.ownership.start();
+    this.workers.open();
     this.applyMode();
-    if (this.isHolding) this.workers.open();
     void this.replica.run();
-    this.ownership.start();
     this.keepContact();
   }
 
@@ -433,6 +433,7 @@
     this.standbys = [];
     this.chosenMs = Number.NEGATIVE_INFINITY;
     log('info', 'owner-started', { token, jobs: this.replica.state.jobs.size });
+    this.loopDelay.watch(true);
     this.term = OwnerTerm.create({
       ...this.options,
       snapshots: this.snapshots,
@@ -455,6 +456,7 @@
     this.options.log('info', 'owner-stopped', { reason });
     this.term.stop();
     this.term = undefined;
+    this.loopDelay.watch(false);
   }
 
   private keepContact(): void {
@@ -499,7 +501,9 @@
     if (isHolding) {
       this.workers.open();
       this.replica.resume();
+      this.ownership.start();
     } else {
+      this.ownership.rest();
       this.workers.close();
       this.replica.pause();
     }
--- a/packages/cell-process/src/loop-delay.ts
+++ b/packages/cell-process/src/loop-delay.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@acaciahoist/clock';
 
-/** Interval in ms of the timer whose lateness is measured. */
-const INTERVAL_MS = 40;
+/** Interval in ms of the timer whose lateness is measured: while it decides, and else for the record. */
+const WATCH_MS = 40;
+const IDLE_MS = 500;
 /** Weight of the newest measurement; several of them outweigh one pause. */
 const WEIGHT = 0.2;
 /** A longer delay in ms is a pause of the process, such as a freeze, and not a load that lasts. */
@@ -22,14 +23,15 @@
   }
 
   private smoothedMs = 0;
+  private intervalMs = IDLE_MS;
   private cancel: () => void = () => undefined;
 
   private constructor(private readonly options: Options) {}
 
   start(): void {
     const { clock, observe } = this.options;
-    const dueMs = clock.monotonicMs() + INTERVAL_MS;
-    this.cancel = clock.after(INTERVAL_MS, () => {
+    const dueMs = clock.monotonicMs() + this.intervalMs;
+    this.cancel = clock.after(this.intervalMs, () => {
       const delayMs = Math.max(0, clock.monotonicMs() - dueMs);
       observe(delayMs);
       this.smoothedMs += (Math.min(delayMs, MAX_DELAY_MS) - this.smoothedMs) * WEIGHT;
@@ -37,6 +39,13 @@
     });
   }
 
+  /** Measures often, or seldom: each measurement wakes the process up. */
+  watch(isWatched: boolean): void {
+    this.intervalMs = isWatched ? WATCH_MS : IDLE_MS;
+    this.cancel();
+    this.start();
+  }
+
   stop(): void {
     this.cancel();
   }
--- a/packages/peer-socket/src/peer-link.ts
+++ b/packages/peer-socket/src/peer-link.ts
@@ -33,6 +33,7 @@
   private waiters: ((open: boolean) => void)[] = [];
   private cancelProbe: () => void = () => undefined;
   private replacements = 0;
+  private isProbing = false;
   private isStopped = false;
   private readonly machine: Actor<typeof connectionMachine>;
 
@@ -50,7 +51,13 @@
       return unreachable(this.options.address);
     const remainingMs = deadlineMs - (this.options.clock.monotonicMs() - startMs);
     if (remainingMs <= 0 || this.current === undefined) return unreachable(this.options.address);
-    return this.current.calls.call(type, body, remainingMs);
+    const socket = this.current;
+    const sentMs = this.options.clock.monotonicMs();
+    const result = await socket.calls.call(type, body, remainingMs);
+    // A call without an answer may mean that the connection went silent: it is probed at once.
+    const isSilent = result.isErr && socket.lastFrameMs < sentMs;
+    if (isSilent && socket === this.current) this.probeNow();
+    return result;
   }
 
   stop(): void {
@@ -140,18 +147,26 @@
   private scheduleProbe(): void {
     this.cancelProbe();
     this.cancelProbe = this.options.clock.after(this.options.probeMs, () => {
-      void this.probe();
+      const { clock, probeMs } = this.options;
+      const lastFrameMs = this.current?.lastFrameMs ?? 0;
+      if (clock.monotonicMs() - lastFrameMs < probeMs) this.scheduleProbe();
+      else this.probeNow();
+    });
+  }
+
+  private probeNow(): void {
+    if (this.isProbing) return;
+    this.isProbing = true;
+    this.cancelProbe();
+    void this.probe().then(() => {
+      this.isProbing = false;
     });
   }
 
   private async probe(): Promise<void> {
-    const { clock, probeMs, probeTimeoutMs } = this.options;
+    const { clock, probeTimeoutMs } = this.options;
     const socket = this.current;
     if (socket === undefined || this.isStopped) return;
-    if (clock.monotonicMs() - socket.lastFrameMs < probeMs) {
-      this.scheduleProbe();
-      return;
-    }
     const sentMs = clock.monotonicMs();
     await socket.calls.call('probe', {}, probeTimeoutMs);
     if (socket !== this.current) return;
