Leave the cell to a slow owner that answers other processes

A slow owner renewed late and was replaced; its successor called all 54 workers at once and renewed later still. The new limit of 0.25 s took the delay of the owner itself for silence of the store.

Change: an owner that answered a process within the last 0.9 s and reaches the store is replaced after 2.5 times the usual silence; its own delay is taken off the silence of the store; a new owner connects to 16 workers at a time.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -108,6 +108,17 @@
   expect(cell.violations()).toEqual([]);
 });
 
+// Load pattern: an owner whose renewals wait behind hundreds of calls. Guards against taking a slow owner
+// for a dead one: its successor is as slow, and begins by calling all workers (large site at a small size,
+// seven owners within 9 s).
+test('leaves the cell to a slow owner that answers other processes', async () => {
+  const callCostMs = { p0: 36, p1: 36, p2: 36 };
+  const cell = EmulatedCell.create({ seed: 24, processes: 3, workers: 24, callCostMs });
+  await cell.start();
+  await cell.run(15_000);
+  expect(cell.lines.filter((line) => line.includes('owner-started')).length).toEqual(1);
+});
+
 // Guards against a slow take-over: the target is a lease (3 s) and 1 s from the death to the next start.
 test('starts work again soon after the death of the owner', async () => {
   const cell = await startCell(8);
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -6,6 +6,7 @@
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
+import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { StartReply } from '@acaciahoist/cell-types/start-reply';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import { taskName } from '@acaciahoist/cell-state/task-name';
@@ -35,7 +36,7 @@
   workers: number;
   /** Cores of processes by name; 1 for those that are not named. */
   cores?: Readonly<Record<string, number>>;
-  /** Time in ms that a call to a worker takes of the processor, by process; none for those that are not named. */
+  /** Time in ms that a call to a worker or an append takes of the processor, by process; none for those that are not named. */
   callCostMs?: Readonly<Record<string, number>>;
   /** Which processes hold a replica; all of them in a small cell. */
   replicas?: { smallCell: number; standbys: number };
@@ -135,7 +136,7 @@
       },
       count: () => undefined,
       observeLoopDelay: () => undefined,
-      store: this.store.client(name),
+      store: this.storeClient(name),
       name,
       incarnation: String(this.lives),
       peerAddress: name,
@@ -286,6 +287,17 @@
     };
   }
 
+  private storeClient(name: string): LogStore {
+    const client = this.store.client(name);
+    return {
+      ...client,
+      append: async (request) => {
+        await this.spend(name);
+        return client.append(request);
+      },
+    };
+  }
+
   /** Waits until the processor of a process has done the calls before this one, and this one. */
   private async spend(name: string): Promise<void> {
     const costMs = this.options.callCostMs?.[name] ?? 0;
--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -35,6 +35,10 @@
 const CLAIM_READ_MS = 300;
 /** Silence in ms after which an owner whose address refuses connections is replaced. */
 const REFUSED_SILENCE_MS = 400;
+/** An owner that answered this process within this time in ms lives, though its renewals may be late. */
+const VOUCHED_MS = 900;
+/** Silence of an owner that lives is borne for this multiple of the usual time: it is slow, not dead. */
+const VOUCHED_FACTOR = 2.5;
 /** The owner renews every 250 ms, and followers read every 80 ms. */
 const OVERDUE_MS = 450;
 /** A replica older than this says nothing about a silent owner. */
@@ -57,6 +61,7 @@
   private dueSinceMs: number | undefined;
   private ownToken = 0;
   private isOverdue = false;
+  private vouched: { owner: string; atMs: number } | undefined;
   private suspected: { owner: string; silenceMs: number } | undefined;
   private cancelTick: () => void = () => undefined;
 
@@ -105,6 +110,11 @@
     if (record.kind === 'claim' && effective) this.observeClaim(record.owner);
   }
 
+  /** The owner answered this process, and reaches the store. */
+  vouch(owner: string): void {
+    this.vouched = { owner, atMs: this.options.clock.monotonicMs() };
+  }
+
   /**
    * Shortens the wait for a silent owner. `replaced`: another life answers at its address, so it is gone
    * for certain. `refused`: nobody listens there, or a firewall refuses in its place. `turned-away`: the
@@ -156,7 +166,10 @@
     const { claim } = replica.state;
     const suspectedMs =
       this.suspected?.owner === claim?.owner ? this.suspected?.silenceMs : undefined;
-    const limitMs = claim === undefined || claim.released ? 0 : (suspectedMs ?? silenceMs);
+    const isVouched =
+      this.vouched?.owner === claim?.owner && nowMs - (this.vouched?.atMs ?? 0) < VOUCHED_MS;
+    const usualMs = isVouched ? silenceMs * VOUCHED_FACTOR : silenceMs;
+    const limitMs = claim === undefined || claim.released ? 0 : (suspectedMs ?? usualMs);
     if (this.silentMs < limitMs + jitterMs) {
       this.dueSinceMs = undefined;
       return;
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -67,6 +67,9 @@
   private readonly ownedSinceMs: number;
   private isStopped = false;
   private foundAtFirst = 0;
+  /** Workers that were found and are not yet called. */
+  private readonly toRun: WorkerLink[] = [];
+  private isRunningSome = false;
   private readonly tracker: RunTracker;
   private readonly starter: StartSender;
   private readonly loop: PlanLoop;
@@ -235,11 +238,23 @@
       },
     });
     this.links.set(entry.id, link);
+    this.toRun.push(link);
+    this.runSome();
     // After a take-over all workers are new to the owner; one line says so.
     if (clock.monotonicMs() - this.ownedSinceMs < limits.firstWorkersMs) this.foundAtFirst += 1;
     else
       log('info', 'worker-found', { worker: entry.id, address: entry.address, born: entry.born });
-    void link.run();
+  }
+
+  /** Connects to some workers at a time, so that what is more urgent gets its turn in between. */
+  private runSome(): void {
+    if (this.isRunningSome) return;
+    this.isRunningSome = true;
+    this.options.clock.after(limits.connectGapMs, () => {
+      this.isRunningSome = false;
+      for (const link of this.toRun.splice(0, limits.connectedAtOnce)) void link.run();
+      if (this.toRun.length > 0) this.runSome();
+    });
   }
 
   /** A life of a worker is proven over: nothing runs there any more. */
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -18,6 +18,9 @@
   holdGapMs: 80,
   /** The pause grows by this multiple of the delay of the process. */
   holdDelayFactor: 2,
+  /** Workers to which a new owner connects at once, and the pause before the next ones. */
+  connectedAtOnce: 16,
+  connectGapMs: 2,
   /** Workers that a new owner finds within this time are logged in one line. */
   firstWorkersMs: 500,
   /** Pause after a hold call that failed. */
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -95,6 +95,8 @@
 const YIELD_INTERVAL_MS = 8_000;
 /** An owner to which the store owes an answer for this long in ms may be turned away, if the store is quick for others. */
 const OWNER_STORE_SILENT_MS = 250;
+/** Multiple of an owner's own delay that it may take for silence of the store: a call waits several times. */
+const OWN_DELAY_FACTOR = 10;
 /** An answer of the store within this time in ms is quick; usual are 4, and a slow store takes up to 400. */
 const QUICK_ANSWER_MS = 100;
 /** A process to which the store owes an answer for this long in ms relays nothing. */
@@ -514,7 +516,10 @@
     this.ranking.largestReported(reply.largestCores);
     if (reply.isStandby !== null) this.mode.chosen(reply.isStandby);
     if (reply.life !== claim.owner) this.ownership.suspect(claim.owner, 'replaced');
-    else if (reply.storeSilentMs > OWNER_STORE_SILENT_MS) void this.checkTurnedAway(claim.owner);
+    // What a busy owner measures is partly its own delay.
+    else if (reply.storeSilentMs > OWNER_STORE_SILENT_MS + OWN_DELAY_FACTOR * reply.loopDelayMs)
+      void this.checkTurnedAway(claim.owner);
+    else this.ownership.vouch(claim.owner);
   }
 
   /** The store owes the owner an answer: suspects the owner when it answers this process quickly. */
