--- a/packages/cell-log/src/index.ts
+++ b/packages/cell-log/src/index.ts
@@ -230,8 +230,15 @@
       this.state.nextOffset += 1;
       return;
     }
-    const effective = this.state.apply(record);
-    this.options.onApplied(record, effective, offset);
+    try {
+      const effective = this.state.apply(record);
+      this.options.onApplied(record, effective, offset);
+    } catch (error) {
+      // Every replica meets the same record; stopping at it would stop the cell.
+      this.state.nextOffset = offset + 1;
+      const { log } = this.options;
+      log('error', 'record-not-applied', { offset, kind: record.kind, error: String(error) });
+    }
   }
 
   /** The log no longer holds the next record: continues from a snapshot. */
--- a/packages/cell-log/src/keyed-follower.ts
+++ b/packages/cell-log/src/keyed-follower.ts
@@ -41,8 +41,7 @@
     const { clock, gapMs, reloadMs } = this.options;
     while (!this.isStopped) {
       const isDue = clock.monotonicMs() - this.reloadedMs > reloadMs();
-      const succeeded =
-        this.nextOffset === undefined || isDue ? await this.reload() : await this.read();
+      const succeeded = await this.step(isDue);
       this.note(succeeded);
       await new Promise<void>((resolve) => {
         const cancel = clock.after(succeeded ? gapMs() : RETRY_MS, resolve);
@@ -65,6 +64,17 @@
     this.hurry();
   }
 
+  /** One read; an error in what takes the records must not end the following. */
+  private async step(isDue: boolean): Promise<boolean> {
+    try {
+      return await (this.nextOffset === undefined || isDue ? this.reload() : this.read());
+    } catch (error) {
+      const { log, topic } = this.options;
+      log('error', 'record-not-taken', { topic, error: String(error) });
+      return true;
+    }
+  }
+
   private async reload(): Promise<boolean> {
     const page = await this.options.store.newest(this.options.topic);
     if (page === undefined) return false;
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -229,6 +229,10 @@
       onGone: (from, reason) => {
         this.endLife(from, reason);
       },
+      onFault: (from, error) => {
+        log('error', 'worker-reply-not-taken', { worker: from.id, error: String(error) });
+        this.options.count('unexpected_errors_total');
+      },
       onReachable: (from, reachable, reason) => {
         log(reachable ? 'info' : 'warn', reachable ? 'worker-regained' : 'worker-lost', {
           worker: from.id,
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -20,6 +20,8 @@
   /** This life of the worker is over. */
   onGone: (link: WorkerLink, reason: string) => void;
   onReachable: (link: WorkerLink, reachable: boolean, reason: string) => void;
+  /** An answer of the worker met an error that no code expected. */
+  onFault: (link: WorkerLink, error: unknown) => void;
 }
 
 /** The calls to one life of a worker: keeps its lease, and learns what runs there and what has ended. */
@@ -100,21 +102,31 @@
 
   /** Keeps the worker held until `stop`. */
   async run(): Promise<void> {
-    const { clock, client, token } = this.options;
+    const { clock } = this.options;
     while (!this.isStopped) {
-      const sentMs = clock.monotonicMs();
-      const reply = await client.hold({
-        token,
-        // A worker out of reach gets no new leases: what runs there is over when the last one is.
-        leaseUntilMs: this.isReachable ? this.grantLease() : 0,
-        acknowledgedEnd: this.acknowledgedEnd,
-        waitMs: this.clockReading === undefined || !this.isReachable ? 0 : this.nextWaitMs(),
+      const pauseMs = await this.holdOnce().catch((error: unknown) => {
+        // The runs of this worker must not lapse because one of its answers met a fault of the program.
+        this.options.onFault(this, error);
+        return limits.holdRetryMs;
       });
-      const pauseMs = this.take(reply, sentMs);
       if (pauseMs > 0) await new Promise<void>((resolve) => clock.after(pauseMs, resolve));
     }
   }
 
+  /** One hold call; returns the pause in ms before the next one. */
+  private async holdOnce(): Promise<number> {
+    const { clock, client, token } = this.options;
+    const sentMs = clock.monotonicMs();
+    const reply = await client.hold({
+      token,
+      // A worker out of reach gets no new leases: what runs there is over when the last one is.
+      leaseUntilMs: this.isReachable ? this.grantLease() : 0,
+      acknowledgedEnd: this.acknowledgedEnd,
+      waitMs: this.clockReading === undefined || !this.isReachable ? 0 : this.nextWaitMs(),
+    });
+    return this.take(reply, sentMs);
+  }
+
   /** Time in ms without an answer after which nothing is known of the worker. */
   get silenceLimitMs(): number {
     return this.waitMs + limits.silentWorkerMs;
--- /dev/null
+++ b/packages/cell-process/src/owner-log.test.ts
@@ -0,0 +1,45 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { CellState } from '@acaciahoist/cell-state';
+import { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
+import { OwnerLog } from './owner-log.js';
+
+// Guards against an owner that was suspended for longer than its right lasts, and goes on to extend the
+// leases of workers that its successor cannot reach: the steady clock does not count a suspension.
+test('counts the time of a suspension as silence of the store', async () => {
+  const clock = ManualClock.create(1_000_000);
+  let suspendedMs = 0;
+  const suspendable = {
+    monotonicMs: () => clock.monotonicMs(),
+    wallMs: () => clock.wallMs() + suspendedMs,
+    after: (delayMs: number, run: () => void) => clock.after(delayMs, run),
+  };
+  const store = {
+    append: () => Promise.resolve({ kind: 'appended' as const, offset: 0 }),
+    newest: () => Promise.resolve(undefined),
+    encodeKeyed: () => Buffer.alloc(0),
+  };
+  const log = OwnerLog.create({
+    clock: suspendable,
+    store,
+    log: () => undefined,
+    topics: { cell: 'cell', snapshots: 'keyed.cell', hints: 'keyed.owner' },
+    token: 1,
+    snapshots: SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined }),
+    state: () => CellState.create(1_000),
+    loopDelayMs: () => 0,
+    onFenced: () => undefined,
+    onAppended: () => undefined,
+  });
+  const appended = log.append([{ kind: 'renew', wallMs: 0 }]);
+  clock.advance(50);
+  await appended;
+  expect(log.silentMs()).toBeLessThan(100);
+  suspendedMs = 9_000;
+  expect(log.silentMs()).toBeGreaterThanOrEqual(9_000);
+  const renewed = log.append([{ kind: 'renew', wallMs: 0 }]);
+  clock.advance(50);
+  await renewed;
+  expect(log.silentMs()).toBeLessThan(100);
+});
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -39,10 +39,12 @@
   private isRenewing = false;
   private isWritingSnapshot = false;
   private acknowledgedMs: number;
+  private acknowledgedWallMs: number;
 
   private constructor(private readonly options: Options) {
     const { clock, store, log, topics, token, onFenced } = options;
     this.acknowledgedMs = clock.monotonicMs();
+    this.acknowledgedWallMs = clock.wallMs();
     const common = { clock, store, log, epoch: token, insists: true, onFenced };
     const producer = CellOwnership.producer;
     // The claim itself was the append with sequence number 0.
@@ -86,16 +88,25 @@
     this.hintRecords.close();
   }
 
-  /** Age in ms of the newest append that was acknowledged, counted from before it was sent. */
+  /**
+   * Age in ms of the newest append that was acknowledged, counted from before it was sent. The steady
+   * clock does not count the time for which a machine is suspended, the time of day does.
+   */
   silentMs(): number {
-    return this.options.clock.monotonicMs() - this.acknowledgedMs;
+    const { clock } = this.options;
+    return Math.max(
+      clock.monotonicMs() - this.acknowledgedMs,
+      clock.wallMs() - this.acknowledgedWallMs,
+    );
   }
 
   async append(records: CellRecord[]): Promise<void> {
     const sentMs = this.options.clock.monotonicMs();
+    const sentWallMs = this.options.clock.wallMs();
     const outcome = await this.records.append(records.map((record) => recordCodec.encode(record)));
-    if (outcome === AppendOutcome.appended)
-      this.acknowledgedMs = Math.max(this.acknowledgedMs, sentMs);
+    if (outcome !== AppendOutcome.appended || sentMs < this.acknowledgedMs) return;
+    this.acknowledgedMs = sentMs;
+    this.acknowledgedWallMs = sentWallMs;
   }
 
   /** Appends a record for a client. Undefined when the store does not answer, so that it would wait. */
