--- /dev/null
+++ b/packages/bench/src/plan/run-load-bench.ts
@@ -0,0 +1,46 @@
+import { largeLoad } from './large-load.js';
+import { simulateLoad } from './simulate-load.js';
+
+const LENGTH_MS = 44_000;
+const QUICK_LENGTH_MS = 8_000;
+/** Load against that of the deployment: the simulated one spends nothing on failed attempts. */
+const LOAD_FACTOR = 1.2;
+/** A day with bursts, lost and unreachable workers, and three take-overs. */
+const TROUBLES = {
+  bursts: [
+    { name: 'prompt', fromMs: 10_000, toMs: 14_000, factor: 2.2 },
+    { name: 'gangs', fromMs: 19_000, toMs: 23_000, factor: 1.5 },
+  ],
+  failures: [
+    { atMs: 8_000, forMs: 4_000, share: 0.05 },
+    { atMs: 14_000, forMs: 4_000, share: 0.05 },
+    { atMs: 25_000, forMs: 4_000, share: 0.07 },
+  ],
+  cuts: [
+    { atMs: 11_500, forMs: 5_000, share: 0.05 },
+    { atMs: 30_900, forMs: 7_000, share: 0.06 },
+    { atMs: 33_500, forMs: 5_200, share: 0.167 },
+  ],
+  pauses: [
+    { fromMs: 2_500, toMs: 4_200 },
+    { fromMs: 18_500, toMs: 20_200 },
+    { fromMs: 41_300, toMs: 44_000 },
+  ],
+} as const;
+
+/** Plays a day of the large deployment on the planner alone. `worth` is the share of all worth that was earned. */
+export function runLoadBench(options: { seed: number; quick: boolean }): {
+  seed: number;
+  result: ReturnType<typeof simulateLoad>;
+} {
+  const { workers, lanes, classes } = largeLoad;
+  const result = simulateLoad({
+    seed: options.seed,
+    workers,
+    lanes,
+    classes: classes.map((load) => ({ ...load, jobsPerS: load.jobsPerS * LOAD_FACTOR })),
+    lengthMs: options.quick ? QUICK_LENGTH_MS : LENGTH_MS,
+    ...TROUBLES,
+  });
+  return { seed: options.seed, result };
+}
--- a/packages/cell-planner/src/index.test.ts
+++ b/packages/cell-planner/src/index.test.ts
@@ -94,3 +94,20 @@
   expect(planCell([failed], workers, 0).starts).toEqual([{ key: 'a', index: 0, worker: 'w1' }]);
   expect(planCell([failed], [worker('w0')], 0).starts.length).toEqual(1);
 });
+
+// Load pattern: gangs that hold half of a large cell. Guards against gangs that queue behind the three
+// for which room is kept, while small tasks take every hole (sealings at the large site, trouble-1).
+test('keeps room for more gangs in a larger cell', () => {
+  const reserved = (workers: number): number => {
+    const run = { endsInMs: 400, size: { millicores: 30_000, memoryMib: 0, accelerators: 0 } };
+    const full = Array.from({ length: workers }, (_, index) =>
+      worker(`w${index}`, { freeMillicores: 2_000, listRuns: () => [run] }),
+    );
+    const gangs = Array.from({ length: 30 }, (_, index) =>
+      step(`gang${index}`, { step: { count: 4, millicores: 30_000, gang: true } }),
+    );
+    return planCell(gangs, full, 0).reservations.length;
+  };
+  expect(reserved(32)).toEqual(3);
+  expect(reserved(378)).toEqual(12);
+});
--- a/packages/cell-planner/src/index.ts
+++ b/packages/cell-planner/src/index.ts
@@ -14,10 +14,12 @@
 import { sizeOf } from './size-of.js';
 import { WorkerIndex } from './worker-index.js';
 
-/** Gangs for which room is kept at the same time; more would leave the cell idle. */
-const MAX_RESERVATIONS = 3;
-/** Searches for a reservation in one round: a gang that finds none would search again in each. */
-const MAX_RESERVATION_SEARCHES = 6;
+/** Gangs for which room is kept at the same time, at least; many in a small cell would leave it idle. */
+const MIN_RESERVATIONS = 3;
+/** One more gang for so many workers: with three in a cell of 378, gangs queued behind each other. */
+const WORKERS_PER_RESERVATION = 32;
+/** Searches for a reservation in one round beyond those that may succeed: a gang that finds none searches again in each. */
+const SPARE_SEARCHES = 3;
 /** A ticket must be valid for this long when its start is decided: it is recorded and sent first. */
 const TICKET_MARGIN_MS = 150;
 /** Tickets of a reserved gang are renewed so that they arrive this long before its room. */
@@ -43,6 +45,10 @@
   const starts: { key: string; index: number; worker: string }[] = [];
   const asks: { key: string; workers: readonly string[] }[] = [];
   const budget = { ...roundBudget };
+  const maxReservations = Math.max(
+    MIN_RESERVATIONS,
+    Math.ceil(workers.length / WORKERS_PER_RESERVATION),
+  );
   let searches = 0;
 
   for (const step of orderUnderOverload(steps, nowMs)) {
@@ -67,7 +73,7 @@
   };
 
   function mayReserve(): boolean {
-    return reservations.length < MAX_RESERVATIONS && searches < MAX_RESERVATION_SEARCHES;
+    return reservations.length < maxReservations && searches < maxReservations + SPARE_SEARCHES;
   }
 
   function mayAsk(step: ReadyStep): boolean {
--- a/packages/cli/src/commands/bench/index.ts
+++ b/packages/cli/src/commands/bench/index.ts
@@ -2,6 +2,7 @@
 import { runPlacementBench } from '@acaciahoist/bench/placement/run-placement-bench';
 import { answers } from '@acaciahoist/errors/answers';
 import { runCapacityBench } from '@acaciahoist/bench/capacity/run-capacity-bench';
+import { runLoadBench } from '@acaciahoist/bench/plan/run-load-bench';
 import { runPlanBench } from '@acaciahoist/bench/plan/run-plan-bench';
 import { runRecoveryBench } from '@acaciahoist/bench/recovery/run-recovery-bench';
 import { runRequestsBench } from '@acaciahoist/bench/requests/run-requests-bench';
@@ -12,6 +13,7 @@
 
 const benches = {
   placement: (options) => runPlacementBench(options),
+  load: (options) => runLoadBench(options),
   plan: (options) => runPlanBench(options),
   slots: (options) => runSlotBench(options),
   requests: (options) => runRequestsBench(options),
