Log how old a told count of waiting jobs is, and which jobs began unconfirmed

A front now logs each count that it tells with its source and age (pending-told); the owner logs once a second, for each queue with some, the jobs that wait and those that count as begun although no worker has confirmed a start (jobs-waiting). No decision changes: what is told is what was told before.

--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -45,7 +45,8 @@
     relayAppend: setup.relayAppend ?? ((): Promise<'refused'> => Promise.resolve('refused')),
     relayThroughStandby: () => Promise.resolve('refused'),
     askOutcome: () => Promise.resolve(setup.asked),
-    heardPending: () => setup.heardPending,
+    heardPending: () =>
+      setup.heardPending === undefined ? undefined : { count: setup.heardPending, ageMs: 0 },
     retentionMs: 120_000,
     append: setup.append ?? ((): Promise<'appended'> => Promise.resolve('appended')),
   });
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -8,6 +8,7 @@
 import type { JobOutcome } from '@acaciahoist/cell-types/job-outcome';
 import type { CellState } from '@acaciahoist/cell-state';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import type { HeardCount } from './heard-count.js';
 import { RecentMap } from './recent-map.js';
 import type { RemoteOutcome } from './remote-outcome.js';
 import { storeRecord } from './store-record.js';
@@ -34,7 +35,7 @@
   /** Asks other processes for a job; undefined when none of them can say. */
   askOutcome: (id: string) => Promise<RemoteOutcome | undefined>;
   /** Waiting jobs of a queue as another process counted them; undefined when that was not heard lately. */
-  heardPending: (queue: string) => number | undefined;
+  heardPending: (queue: string) => HeardCount | undefined;
   /** How long ended jobs are remembered, in ms. */
   retentionMs: number;
 }
@@ -147,10 +148,18 @@
 
   /** Accepted jobs of a queue for which no task has started; undefined when that is not known. */
   pendingOf(queue: string): number | undefined {
+    const { log, replicaAgeMs, heardPending } = this.options;
     const state = this.options.state();
-    if (state === undefined || this.options.replicaAgeMs() > PENDING_AGE_MS)
-      return this.options.heardPending(queue) ?? state?.pendingOf(queue);
-    return state.pendingOf(queue);
+    const isOld = state === undefined || replicaAgeMs() > PENDING_AGE_MS;
+    const heard = isOld ? heardPending(queue) : undefined;
+    const pending = heard?.count ?? state?.pendingOf(queue);
+    log('info', 'pending-told', {
+      queue,
+      pending: pending ?? null,
+      source: heard === undefined ? 'replica' : 'heard',
+      ageMs: Math.round(heard?.ageMs ?? replicaAgeMs()),
+    });
+    return pending;
   }
 
   /** To be called for every job record that the replica applied. */
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -11,6 +11,7 @@
 import { AdviceBook } from './advice-book.js';
 import { AdviceDesk } from './advice-desk.js';
 import { callLimits } from './call-limits.js';
+import { ConfirmedJobs } from './confirmed-jobs.js';
 import { expectedEnd } from './expected-end.js';
 import { limits } from './limits.js';
 import { Proposals } from './proposals.js';
@@ -43,8 +44,6 @@
   onFenced: () => void;
 }
 
-/** The name of a task begins with the id of its job. */
-const JOB_ID_LENGTH = 16;
 /** Jobs of which it is remembered that their end was logged; more only cost a repeated line. */
 const MAX_REPORTED = 10_000;
 
@@ -65,6 +64,7 @@
   private readonly book: AdviceBook;
   private readonly desk: AdviceDesk;
   private readonly health: WorkerHealth;
+  private readonly confirmed = ConfirmedJobs.create();
   private readonly ownedSinceMs: number;
   private isStopped = false;
   private foundAtFirst = 0;
@@ -95,6 +95,7 @@
       window: this.window,
       book: this.book,
       health: this.health,
+      confirmed: this.confirmed,
       proposeEnd: (view, how, reason) => {
         this.proposeEnd(view, how, reason);
       },
@@ -116,6 +117,9 @@
       this.moveFromLeavingWorkers();
       this.loop.plan();
     });
+    this.every(limits.waitingReportMs, () => {
+      this.reportWaiting();
+    });
   }
 
   stop(): void {
@@ -191,7 +195,7 @@
     if (record.kind === 'job') this.loop.touch(record.job.id);
     else if (record.kind === 'cancel') this.loop.touch(record.id);
     else if (record.kind === 'start' || record.kind === 'end')
-      this.loop.touch(record.task.slice(0, JOB_ID_LENGTH));
+      this.loop.touch(taskName.jobOf(record.task));
   }
 
   describe(): Record<string, unknown> {
@@ -355,6 +359,7 @@
     if (this.reported.size > MAX_REPORTED) this.reported.clear();
     this.reported.add(id);
     this.book.forgetJob(id);
+    this.confirmed.forget(id);
     this.health.forgetJob(id);
     this.options.log('info', 'job-ended', { job: id, outcome: ended.outcome });
     this.options.count(`jobs_${ended.outcome}_total`);
@@ -379,6 +384,17 @@
     });
   }
 
+  /** Logs the queues with jobs that wait, or that count as begun without a confirmed start. */
+  private reportWaiting(): void {
+    const { state, log } = this.options;
+    const unconfirmed = this.confirmed.countUnconfirmed(state);
+    for (const [queue, waiting] of state.pending) {
+      const begunUnconfirmed = unconfirmed.get(queue) ?? 0;
+      if (waiting > 0 || begunUnconfirmed > 0)
+        log('info', 'jobs-waiting', { queue, waiting, begunUnconfirmed });
+    }
+  }
+
   private every(intervalMs: number, run: () => void): void {
     const index = this.cancelTimers.length;
     const schedule = (): void => {
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -43,6 +43,8 @@
   planGapMs: 12,
   /** A round is followed by a pause of this many times its length, in which calls are answered. */
   planRestFactor: 3,
+  /** Interval of the log lines that tell how many jobs wait. */
+  waitingReportMs: 1_000,
   /** A planning round runs at least this often: tickets expire and set times come. */
   planTickMs: 100,
   /** Records that wait this long to come back show a store that is away: no more starts are decided. */
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -2,6 +2,7 @@
 import { planCell } from '@acaciahoist/cell-planner';
 import type { PlannedWorker } from '@acaciahoist/cell-planner/planned-worker';
 import type { ReadyStep } from '@acaciahoist/cell-planner/ready-step';
+import { taskName } from '@acaciahoist/cell-state/task-name';
 import { sizeOf } from '@acaciahoist/cell-planner/size-of';
 import type { AdviceDesk } from './advice-desk.js';
 import { expectedEnd } from './expected-end.js';
@@ -156,7 +157,7 @@
     this.context.book.markAsked(step.key, true);
     void asked.then((answer) => {
       if (this.context.isStopped()) return;
-      if (this.context.state.jobs.has(step.key.slice(0, 16))) {
+      if (this.context.state.jobs.has(taskName.jobOf(step.key))) {
         this.context.book.markAsked(step.key, false);
         if (answer.kind === 'allowed')
           this.context.book.record(step.key, workers, answer.tickets, advice.ticketMs);
--- a/packages/cell-owner/src/run-judge.ts
+++ b/packages/cell-owner/src/run-judge.ts
@@ -1,3 +1,4 @@
+import { taskName } from '@acaciahoist/cell-state/task-name';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
@@ -15,7 +16,7 @@
   /** A run has ended. */
   judgeEnd(view: RunView, how: RunEnd): void {
     const { health, clock } = this.context;
-    if (how === RunEnd.failed && health.failed(view.worker, view.task.slice(0, 16)))
+    if (how === RunEnd.failed && health.failed(view.worker, taskName.jobOf(view.task)))
       this.noteOut(view.worker);
     if (how === RunEnd.done) this.measure(view, clock.monotonicMs() - view.sinceMs);
   }
--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -1,6 +1,7 @@
 import type { EndedRun } from '@acaciahoist/cell-types/ended-run';
 import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
+import { taskName } from '@acaciahoist/cell-state/task-name';
 import { callLimits } from './call-limits.js';
 import type { OwnerContext } from './owner-context.js';
 import { PaceDesk } from './pace-desk.js';
@@ -45,6 +46,7 @@
       }
       listed.add(row.task);
       if (view.phase !== 'running') {
+        this.context.confirmed.confirm(taskName.jobOf(view.task));
         view.phase = 'running';
         view.settledMs = nowMs;
       }
@@ -69,6 +71,7 @@
     link.seenEnd = Math.max(link.seenEnd, ended.number);
     const view = this.context.runs.get(ended.task);
     if (view?.run !== ended.run || view.worker !== link.id) return;
+    this.context.confirmed.confirm(taskName.jobOf(view.task));
     this.judge.judgeEnd(view, ended.how);
     if (ended.checkpoint !== '') view.checkpoint = ended.checkpoint;
     this.context.proposeEnd(view, ended.how, 'reported');
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import type { HeardCount } from '@acaciahoist/cell-front/heard-count';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import type { PeerCalls } from './peer-calls.js';
 
@@ -106,9 +107,10 @@
   }
 
   /** Jobs of a queue that wait for their first start; undefined when that was not heard lately. */
-  pendingOf(queue: string): number | undefined {
-    if (this.options.clock.monotonicMs() - this.pendingMs > PENDING_AGE_MS) return undefined;
-    return this.pending.get(queue) ?? 0;
+  pendingOf(queue: string): HeardCount | undefined {
+    const ageMs = this.options.clock.monotonicMs() - this.pendingMs;
+    if (ageMs > PENDING_AGE_MS) return undefined;
+    return { count: this.pending.get(queue) ?? 0, ageMs };
   }
 
   /** Other processes that hold a replica: those of the own data centre first, the owner last. */
--- a/packages/cell-state/src/index.ts
+++ b/packages/cell-state/src/index.ts
@@ -98,7 +98,7 @@
       return found.task.phase === 'placed'
         ? { run: found.task.run, worker: found.task.worker }
         : undefined;
-    return this.ended.get(name.slice(0, 16))?.leftovers.get(name);
+    return this.ended.get(taskName.jobOf(name))?.leftovers.get(name);
   }
 
   /** Counts jobs of the queue that wait for their first start. */
@@ -152,7 +152,7 @@
   private endRun(name: string, run: number, how: RunEnd, saved: string): boolean {
     const found = this.taskOf(name);
     if (found === undefined) {
-      const leftovers = this.ended.get(name.slice(0, 16))?.leftovers;
+      const leftovers = this.ended.get(taskName.jobOf(name))?.leftovers;
       return leftovers?.get(name)?.run === run && leftovers.delete(name);
     }
     const { progress, step, task } = found;
