Count a job as waiting until a worker has confirmed a start

What callers saw: a count of 14 waiting jobs while 172 had waited for 5 s, and jobs shown as running of which nothing ran.

Cause: a job counted as begun as soon as the decision to start its first task was in the log. A decision may not be carried out (too old, ticket expired, worker not startable, refused, not answered), and nothing took the mark back. The class: an intention that is recorded before its effect is taken for the effect.

Now the owner records the beginning of a job (record 'begun') when a worker confirms a start, lists a run or reports an end; only that, or an end that a worker reported, takes the job off the count and shows it as running. A successor learns of unrecorded beginnings from the lists of the workers. The record goes with others within 40 ms and takes some 35 bytes a job. Weighed against taking the mark back with the end of the run: while a worker is cut off, its runs are open for the length of a lease, far beyond the 2 s that a count may be old.

The test 'counts pending jobs through start, cancel and end' asked for the fault (0 after a recorded start); its replacement asks for 1 until the beginning is recorded, and checks repeats and late records besides.

--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -10,8 +10,8 @@
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { AdviceBook } from './advice-book.js';
 import { AdviceDesk } from './advice-desk.js';
+import { BegunJobs } from './begun-jobs.js';
 import { callLimits } from './call-limits.js';
-import { ConfirmedJobs } from './confirmed-jobs.js';
 import { expectedEnd } from './expected-end.js';
 import { limits } from './limits.js';
 import { Proposals } from './proposals.js';
@@ -64,7 +64,7 @@
   private readonly book: AdviceBook;
   private readonly desk: AdviceDesk;
   private readonly health: WorkerHealth;
-  private readonly confirmed = ConfirmedJobs.create();
+  private readonly begun: BegunJobs;
   private readonly ownedSinceMs: number;
   private isStopped = false;
   private foundAtFirst = 0;
@@ -85,6 +85,11 @@
     this.book = AdviceBook.create(clock);
     this.desk = AdviceDesk.create({ clock, own: options.advise });
     this.health = WorkerHealth.create(clock);
+    this.begun = BegunJobs.create(state, () => {
+      clock.after(limits.begunDelayMs, () => {
+        if (!this.isStopped) this.append([]);
+      });
+    });
     this.window = StartWindow.create(clock, () => options.loopDelayMs() > limits.busyDelayMs);
     const context: OwnerContext = {
       ...options,
@@ -95,7 +100,10 @@
       window: this.window,
       book: this.book,
       health: this.health,
-      confirmed: this.confirmed,
+      begun: this.begun,
+      append: (records) => {
+        this.append(records);
+      },
       proposeEnd: (view, how, reason) => {
         this.proposeEnd(view, how, reason);
       },
@@ -179,6 +187,9 @@
       case 'start':
         this.starter.startRecorded(record, effective);
         break;
+      case 'begun':
+        this.begun.forget(record.id);
+        break;
       case 'end':
         this.endRecorded(record);
         break;
@@ -336,7 +347,7 @@
         reason,
       });
     const { task, run, checkpoint } = view;
-    this.options.append([{ kind: 'end', task, run, how, saved: checkpoint }]);
+    this.append([{ kind: 'end', task, run, how, saved: checkpoint }]);
   }
 
   private endRecorded(record: Extract<CellRecord, { kind: 'end' }>): void {
@@ -359,7 +370,7 @@
     if (this.reported.size > MAX_REPORTED) this.reported.clear();
     this.reported.add(id);
     this.book.forgetJob(id);
-    this.confirmed.forget(id);
+    this.begun.forget(id);
     this.health.forgetJob(id);
     this.options.log('info', 'job-ended', { job: id, outcome: ended.outcome });
     this.options.count(`jobs_${ended.outcome}_total`);
@@ -384,15 +395,19 @@
     });
   }
 
-  /** Logs the queues with jobs that wait, or that count as begun without a confirmed start. */
+  /** Logs how many jobs wait, and for how many of them a start is recorded that no worker has confirmed. */
   private reportWaiting(): void {
     const { state, log } = this.options;
-    const unconfirmed = this.confirmed.countUnconfirmed(state);
-    for (const [queue, waiting] of state.pending) {
-      const begunUnconfirmed = unconfirmed.get(queue) ?? 0;
-      if (waiting > 0 || begunUnconfirmed > 0)
-        log('info', 'jobs-waiting', { queue, waiting, begunUnconfirmed });
-    }
+    const unconfirmed = this.begun.countUnconfirmed();
+    for (const [queue, waiting] of state.pending)
+      if (waiting > 0)
+        log('info', 'jobs-waiting', { queue, waiting, unconfirmed: unconfirmed.get(queue) ?? 0 });
+  }
+
+  /** Appends records together with the beginnings of jobs that were confirmed since the last time. */
+  private append(records: readonly CellRecord[]): void {
+    const all = [...this.begun.take(), ...records];
+    if (all.length > 0) this.options.append(all);
   }
 
   private every(intervalMs: number, run: () => void): void {
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -43,6 +43,8 @@
   planGapMs: 12,
   /** A round is followed by a pause of this many times its length, in which calls are answered. */
   planRestFactor: 3,
+  /** The beginning of a job waits this long for other records to be appended with. */
+  begunDelayMs: 40,
   /** Interval of the log lines that tell how many jobs wait. */
   waitingReportMs: 1_000,
   /** A planning round runs at least this often: tickets expire and set times come. */
--- a/packages/cell-owner/src/owner-context.ts
+++ b/packages/cell-owner/src/owner-context.ts
@@ -4,7 +4,7 @@
 import type { CellState } from '@acaciahoist/cell-state';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import type { AdviceBook } from './advice-book.js';
-import type { ConfirmedJobs } from './confirmed-jobs.js';
+import type { BegunJobs } from './begun-jobs.js';
 import type { Proposals } from './proposals.js';
 import type { RunTable } from './run-table.js';
 import type { RunView } from './run-view.js';
@@ -32,7 +32,7 @@
   window: StartWindow;
   book: AdviceBook;
   health: WorkerHealth;
-  confirmed: ConfirmedJobs;
+  begun: BegunJobs;
   /** Records that a run is over. */
   proposeEnd: (view: RunView, how: RunEnd, reason: string) => void;
   sendStop: (link: WorkerLink, view: RunView) => void;
--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -46,7 +46,7 @@
       }
       listed.add(row.task);
       if (view.phase !== 'running') {
-        this.context.confirmed.confirm(taskName.jobOf(view.task));
+        this.context.begun.confirm(taskName.jobOf(view.task));
         view.phase = 'running';
         view.settledMs = nowMs;
       }
@@ -71,7 +71,6 @@
     link.seenEnd = Math.max(link.seenEnd, ended.number);
     const view = this.context.runs.get(ended.task);
     if (view?.run !== ended.run || view.worker !== link.id) return;
-    this.context.confirmed.confirm(taskName.jobOf(view.task));
     this.judge.judgeEnd(view, ended.how);
     if (ended.checkpoint !== '') view.checkpoint = ended.checkpoint;
     this.context.proposeEnd(view, ended.how, 'reported');
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -88,7 +88,7 @@
     view.settledMs = clock.monotonicMs();
     switch (reply.kind) {
       case 'started':
-        this.context.confirmed.confirm(taskName.jobOf(view.task));
+        this.context.begun.confirm(taskName.jobOf(view.task));
         if (view.phase === 'sending') view.phase = 'running';
         return;
       case 'unknown':
--- a/packages/cell-state/src/index.test.ts
+++ b/packages/cell-state/src/index.test.ts
@@ -121,14 +121,31 @@
 });
 
 // Guards against a pending count that drifts from the jobs.
-test('counts pending jobs through start, cancel and end', () => {
+test('counts pending jobs through start, beginning, cancel and end', () => {
   const state = CellState.create(1_000);
   state.apply({ kind: 'job', job: job() });
   expect(state.pendingOf('q')).toEqual(1);
   state.apply(start(0));
+  expect(state.pendingOf('q')).toEqual(1);
+  expect(state.apply({ kind: 'begun', id })).toEqual(true);
+  expect(state.pendingOf('q')).toEqual(0);
+  expect(state.apply({ kind: 'begun', id })).toEqual(false);
+  state.apply(end(0, RunEnd.lost));
   expect(state.pendingOf('q')).toEqual(0);
   state.apply({ kind: 'cancel', id });
   expect(state.pendingOf('q')).toEqual(0);
+  expect(state.apply({ kind: 'begun', id })).toEqual(false);
+  expect(state.pendingOf('q')).toEqual(0);
+});
+
+// Guards against a job that counts as waiting although a worker has reported the end of a run of it.
+test('a reported end shows that the job has begun', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  state.apply(start(0));
+  state.apply(end(0, RunEnd.stopped));
+  expect(state.pendingOf('q')).toEqual(0);
+  expect(state.outcomeOf(id)).toEqual('running');
 });
 
 // Guards against memory that grows with every job that ever ended.
--- a/packages/cell-state/src/index.ts
+++ b/packages/cell-state/src/index.ts
@@ -23,7 +23,7 @@
 
   readonly jobs = new Map<string, JobProgress>();
   readonly ended = new Map<string, EndedJob>();
-  /** Accepted jobs without a started task, by queue; jobs with set times are not counted. */
+  /** Accepted jobs that have not begun, by queue; jobs with set times are not counted. */
   readonly pending = new Map<string, number>();
   claim: CellOwnerClaim | undefined;
   /** Offset of the next record to apply. */
@@ -60,6 +60,8 @@
         return this.finish(record.id, 'cancelled');
       case 'start':
         return this.place(record.task, record.run, record.worker);
+      case 'begun':
+        return this.begin(this.jobs.get(record.id));
       case 'end':
         return this.endRun(record.task, record.run, record.how, record.saved);
     }
@@ -136,16 +138,19 @@
   private place(name: string, run: number, worker: string): boolean {
     const found = this.taskOf(name);
     if (found === undefined) return false;
-    const { progress, step, task } = found;
+    const { step, task } = found;
     if (task.phase !== 'waiting' || run <= task.run) return false;
     task.phase = 'placed';
     task.run = run;
     task.worker = worker;
     step.placed += 1;
-    if (!progress.begun) {
-      progress.begun = true;
-      if (progress.job.firstRunMs === 0) this.countPending(progress, -1);
-    }
+    return true;
+  }
+
+  private begin(progress: JobProgress | undefined): boolean {
+    if (progress === undefined || progress.begun) return false;
+    progress.begun = true;
+    if (progress.job.firstRunMs === 0) this.countPending(progress, -1);
     return true;
   }
 
@@ -159,6 +164,7 @@
     if (task.phase !== 'placed' || task.run !== run) return false;
     const definition = this.stepOf(name);
     if (definition === undefined) return false;
+    if (how !== RunEnd.lost) this.begin(progress);
     task.phase = 'waiting';
     step.placed -= 1;
     if (saved !== '') task.checkpoint = saved;
--- a/packages/cell-state/src/job-progress.ts
+++ b/packages/cell-state/src/job-progress.ts
@@ -8,6 +8,6 @@
   offset: number;
   /** Steps by occurrence. */
   occurrences: StepProgress[][];
-  /** True once a task was started. */
+  /** True once a worker is known to have started a task; a recorded start may never be carried out. */
   begun: boolean;
 }
--- a/packages/cell-state/src/record-codec.ts
+++ b/packages/cell-state/src/record-codec.ts
@@ -12,7 +12,7 @@
   mapsAsObjects: true,
 });
 
-const KINDS = new Set(['claim', 'renew', 'release', 'job', 'cancel', 'start', 'end']);
+const KINDS = new Set(['claim', 'renew', 'release', 'job', 'cancel', 'start', 'begun', 'end']);
 
 /** Encodes records of the cell log. */
 export const recordCodec = {
--- a/packages/cell-types/src/cell-record.ts
+++ b/packages/cell-types/src/cell-record.ts
@@ -16,4 +16,6 @@
   | { kind: 'cancel'; id: string }
   /** The owner is about to send the start of a run to a worker. */
   | { kind: 'start'; task: string; run: number; worker: string }
+  /** A worker has confirmed the first start of a task of the job. */
+  | { kind: 'begun'; id: string }
   | { kind: 'end'; task: string; run: number; how: RunEnd; saved: string };
