Keep what runs on the new life of a worker through a hand-over

What workers saw: a task started a second time beside its first run, and a worker over its room. It took the old life's end for the end of all runs on that id.

Cause: start records name the worker and not its life. The class: a name that is used again is taken for the thing it named before.

Now the owner records each life of a worker that it reaches ('life', before the first start there; 40 bytes, only when it changed), the state keeps with each placement the life that was newest in the log, and the end of a life ends only runs on it or on older ones. Others are settled by the list of the newer life, or when the leases of the former owner are over.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -148,6 +148,31 @@
   expect(cell.unfinished()).toEqual([]);
 });
 
+// Load pattern: workers that restart under their id around a hand-over. Guards against a successor that
+// takes a run on the new life of a worker for one on the old life, which it still knows, and starts it
+// again beside the first.
+test('keeps what runs on the new life of a worker through a hand-over', async () => {
+  for (const seed of [50, 51, 52, 53, 54, 55]) {
+    const cell = await startCell(seed);
+    cell.workers.get('w0')?.crash();
+    await cell.run(1_500 + 150 * (seed - 50));
+    cell.addWorker('w0');
+    const job = makeJob(1, [{ count: 4, millicores: 8_000, estimateMs: 6_000 }]);
+    const submitted = cell.submit(job, 'p0');
+    const isStarted = (): boolean => cell.history.some(({ worker }) => worker === 'w0');
+    while (!isStarted() && cell.clock.monotonicMs() < 8_000) await cell.run(10);
+    expect(isStarted()).toEqual(true);
+    const owner = cell.processes.find(({ process }) => process.isOwner());
+    await Promise.all([owner?.process.handOver(), cell.run(1_000)]);
+    expect(cell.ownerName() === owner?.name).toEqual(false);
+    await cell.run(12_000);
+    expect(await submitted).toEqual('accepted');
+    expect(cell.violations()).toEqual([]);
+    expect(cell.unfinished()).toEqual([]);
+    expect(cell.history.filter(({ kind }) => kind === 'started').length).toEqual(4);
+  }
+});
+
 // Guards against work that is thrown away when a worker leaves, though it could resume elsewhere.
 test('stops resumable work before its worker leaves', async () => {
   const cell = await startCell(11);
--- a/packages/cell-owner/src/begun-jobs.ts
+++ b/packages/cell-owner/src/begun-jobs.ts
@@ -26,7 +26,7 @@
     const progress = this.state.jobs.get(job);
     if (progress === undefined || progress.begun || this.confirmed.has(job)) return;
     this.confirmed.add(job);
-    this.unsent.push({ kind: 'begun', id: job });
+    this.unsent.push({ kind: 'begun', job });
     if (this.unsent.length === 1) this.onUnsent();
   }
 
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -188,7 +188,7 @@
         this.starter.startRecorded(record, effective);
         break;
       case 'begun':
-        this.begun.forget(record.id);
+        this.begun.forget(record.job);
         break;
       case 'end':
         this.endRecorded(record);
@@ -236,6 +236,7 @@
       loopDelayMs,
       onHeld: (from, reply, sentMs) => {
         if (this.isStopped) return;
+        this.recordLife(from);
         this.tracker.held(from, reply, sentMs);
         this.loop.request();
       },
@@ -277,6 +278,14 @@
     });
   }
 
+  /** Records the life of a worker before the first start there. */
+  private recordLife(link: WorkerLink): void {
+    const { born } = link.entry;
+    if (link.isLifeRecorded || this.options.state.lives.get(link.id) === born) return;
+    link.isLifeRecorded = true;
+    this.append([{ kind: 'life', worker: link.id, born }]);
+  }
+
   /** A life of a worker is proven over: nothing runs there any more. */
   private endLife(link: WorkerLink, reason: string): void {
     if (this.links.get(link.id) !== link) return;
@@ -289,8 +298,11 @@
     this.links.delete(link.id);
     this.book.forgetWorker(link.id);
     this.health.forgetWorker(link.id);
-    for (const view of [...this.runs.on(link.id)])
-      this.proposeEnd(view, RunEnd.lost, 'worker-gone');
+    for (const view of [...this.runs.on(link.id)]) {
+      // A predecessor may have started the run on a newer life, which lists it when it is reached.
+      if (view.born !== 0 && view.born <= link.entry.born)
+        this.proposeEnd(view, RunEnd.lost, 'worker-gone');
+    }
   }
 
   private sendStop(link: WorkerLink, view: RunView): void {
--- a/packages/cell-owner/src/run-table.ts
+++ b/packages/cell-owner/src/run-table.ts
@@ -65,22 +65,21 @@
             if (task.phase !== 'placed') return;
             const name = taskName.format({ job: progress.job.id, occurrence, step, index });
             const size = sizeOf(definition);
-            this.add(inherited(name, task.run, task.worker, size, definition.estimateMs, nowMs));
+            this.add(inherited(name, task, size, definition.estimateMs, nowMs));
           });
         });
       });
     }
     for (const ended of this.state.ended.values()) {
       for (const [name, run] of ended.leftovers)
-        this.add(inherited(name, run.run, run.worker, sizeOf(run.size), 0, nowMs));
+        this.add(inherited(name, run, sizeOf(run.size), 0, nowMs));
     }
   }
 }
 
 function inherited(
   task: string,
-  run: number,
-  worker: string,
+  { run, worker, born }: Pick<RunView, 'run' | 'worker' | 'born'>,
   size: RunView['size'],
   estimateMs: number,
   nowMs: number,
@@ -89,6 +88,7 @@
     task,
     run,
     worker,
+    born,
     size,
     phase: 'inherited',
     sinceMs: nowMs,
--- a/packages/cell-owner/src/run-view.ts
+++ b/packages/cell-owner/src/run-view.ts
@@ -5,6 +5,8 @@
   task: string;
   run: number;
   worker: string;
+  /** Start of the worker's life for which the run was meant, as Unix ms; 0 when not known. */
+  born: number;
   size: Room;
   /**
    * `sending`: the start is on its way. `running`: the worker has confirmed it. `unknown`: the start got
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -30,6 +30,7 @@
       task: record.task,
       run: record.run,
       worker: record.worker,
+      born: found.task.born,
       size: proposal?.size ?? sizeOf(step),
       phase: 'sending',
       sinceMs: nowMs,
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -41,6 +41,8 @@
   /** True once the worker has seen this owner's token. */
   isFenced = false;
   isReachable = true;
+  /** The owner has handed a record of this life to the log. */
+  isLifeRecorded = false;
   /** Upper bound of the monotonic time at which all leases that this owner gave are over. */
   leaseOverMs: number;
   /** Highest number of the ends that were handed to the owner. */
--- a/packages/cell-state/src/index.test.ts
+++ b/packages/cell-state/src/index.test.ts
@@ -67,6 +67,23 @@
   expect(state.outcomeOf(id)).toEqual('queued');
 });
 
+// Guards against a run that is taken for one on another life of its worker.
+test('a placement keeps the life of the worker that was newest when it was recorded', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  state.apply({ kind: 'life', worker: 'w', born: 10 });
+  state.apply(start(0));
+  expect(state.apply({ kind: 'life', worker: 'w', born: 20 })).toEqual(true);
+  expect(state.apply({ kind: 'life', worker: 'w', born: 20 })).toEqual(false);
+  state.apply(start(1));
+  const restored = snapshotCodec.decode(snapshotCodec.encode(state), 1_000);
+  for (const { lives, jobs } of [state, restored]) {
+    const tasks = jobs.get(id)?.occurrences[0]?.[0]?.tasks;
+    expect(tasks?.map(({ born }) => born)).toEqual([10, 20]);
+    expect(lives.get('w')).toEqual(20);
+  }
+});
+
 // Guards against attempts that are counted for ends which are not failures.
 test('only failed runs count as attempts', () => {
   const state = CellState.create(1_000);
@@ -127,14 +144,14 @@
   expect(state.pendingOf('q')).toEqual(1);
   state.apply(start(0));
   expect(state.pendingOf('q')).toEqual(1);
-  expect(state.apply({ kind: 'begun', id })).toEqual(true);
+  expect(state.apply({ kind: 'begun', job: id })).toEqual(true);
   expect(state.pendingOf('q')).toEqual(0);
-  expect(state.apply({ kind: 'begun', id })).toEqual(false);
+  expect(state.apply({ kind: 'begun', job: id })).toEqual(false);
   state.apply(end(0, RunEnd.lost));
   expect(state.pendingOf('q')).toEqual(0);
   state.apply({ kind: 'cancel', id });
   expect(state.pendingOf('q')).toEqual(0);
-  expect(state.apply({ kind: 'begun', id })).toEqual(false);
+  expect(state.apply({ kind: 'begun', job: id })).toEqual(false);
   expect(state.pendingOf('q')).toEqual(0);
 });
 
--- a/packages/cell-state/src/index.ts
+++ b/packages/cell-state/src/index.ts
@@ -11,6 +11,9 @@
 import type { TaskProgress } from './task-progress.js';
 import { taskName } from './task-name.js';
 
+/** Workers whose life is remembered: several times those of a large cell. An owner records others again. */
+const MAX_LIVES = 4_096;
+
 /**
  * The state of the cell: a deterministic reduction of the cell log. Every process holds a replica, so
  * that any of them can answer clients and take over from the owner.
@@ -25,6 +28,8 @@
   readonly ended = new Map<string, EndedJob>();
   /** Accepted jobs that have not begun, by queue; jobs with set times are not counted. */
   readonly pending = new Map<string, number>();
+  /** Start of the newest life of each worker that an owner has reached, as Unix ms. */
+  readonly lives = new Map<string, number>();
   claim: CellOwnerClaim | undefined;
   /** Offset of the next record to apply. */
   nextOffset = 0;
@@ -60,8 +65,10 @@
         return this.finish(record.id, 'cancelled');
       case 'start':
         return this.place(record.task, record.run, record.worker);
+      case 'life':
+        return this.noteLife(record.worker, record.born);
       case 'begun':
-        return this.begin(this.jobs.get(record.id));
+        return this.begin(this.jobs.get(record.job));
       case 'end':
         return this.endRun(record.task, record.run, record.how, record.saved);
     }
@@ -122,6 +129,7 @@
           phase: 'waiting',
           run: 0,
           worker: '',
+          born: 0,
           failures: 0,
           checkpoint: '',
         })),
@@ -143,10 +151,23 @@
     task.phase = 'placed';
     task.run = run;
     task.worker = worker;
+    task.born = this.lives.get(worker) ?? 0;
     step.placed += 1;
     return true;
   }
 
+  private noteLife(worker: string, born: number): boolean {
+    if (this.lives.get(worker) === born) return false;
+    // Inserted anew, so that the workers that were not reached for the longest time come first.
+    this.lives.delete(worker);
+    this.lives.set(worker, born);
+    for (const oldest of this.lives.keys()) {
+      if (this.lives.size <= MAX_LIVES) break;
+      this.lives.delete(oldest);
+    }
+    return true;
+  }
+
   private begin(progress: JobProgress | undefined): boolean {
     if (progress === undefined || progress.begun) return false;
     progress.begun = true;
@@ -218,7 +239,7 @@
         entry.tasks.forEach((task, index) => {
           if (task.phase !== 'placed') return;
           const name = taskName.format({ job: id, occurrence, step, index });
-          leftovers.set(name, { run: task.run, worker: task.worker, size });
+          leftovers.set(name, { run: task.run, worker: task.worker, born: task.born, size });
         });
       });
     });
--- a/packages/cell-state/src/leftover-run.ts
+++ b/packages/cell-state/src/leftover-run.ts
@@ -4,5 +4,7 @@
 export interface LeftoverRun {
   run: number;
   worker: string;
+  /** Start of the worker's life for which the run was meant, as Unix ms; 0 when not known. */
+  born: number;
   size: Pick<CellStep, 'millicores' | 'memoryMib' | 'accelerators' | 'usesSpareCpu'>;
 }
--- a/packages/cell-state/src/record-codec.ts
+++ b/packages/cell-state/src/record-codec.ts
@@ -12,7 +12,17 @@
   mapsAsObjects: true,
 });
 
-const KINDS = new Set(['claim', 'renew', 'release', 'job', 'cancel', 'start', 'begun', 'end']);
+const KINDS = new Set([
+  'claim',
+  'renew',
+  'release',
+  'job',
+  'cancel',
+  'start',
+  'life',
+  'begun',
+  'end',
+]);
 
 /** Encodes records of the cell log. */
 export const recordCodec = {
--- a/packages/cell-state/src/record-structures.ts
+++ b/packages/cell-state/src/record-structures.ts
@@ -31,4 +31,5 @@
     'tailTargetMs',
     'maxUnavailable',
   ],
+  ['kind', 'worker', 'born'],
 ];
--- a/packages/cell-state/src/snapshot-codec.ts
+++ b/packages/cell-state/src/snapshot-codec.ts
@@ -12,6 +12,8 @@
   nextOffset: number;
   logTimeMs: number;
   claim: CellOwnerClaim | null;
+  /** Absent in snapshots of former versions, like `born` of tasks and leftover runs. */
+  lives?: [string, number][];
   jobs: JobProgress[];
   ended: {
     id: string;
@@ -28,6 +30,7 @@
       nextOffset: state.nextOffset,
       logTimeMs: state.logTimeMs,
       claim: state.claim ?? null,
+      lives: [...state.lives],
       jobs: [...state.jobs.values()],
       ended: [...state.ended].map(([id, job]) => ({
         id,
@@ -45,9 +48,21 @@
     state.nextOffset = content.nextOffset;
     state.logTimeMs = content.logTimeMs;
     state.claim = content.claim ?? undefined;
-    for (const progress of content.jobs) state.restore(progress);
-    for (const { id, outcome, endedMs, leftovers } of content.ended)
+    for (const [worker, born] of content.lives ?? []) state.lives.set(worker, born);
+    for (const progress of content.jobs) {
+      for (const steps of progress.occurrences)
+        for (const step of steps) for (const task of step.tasks) completeLife(task);
+      state.restore(progress);
+    }
+    for (const { id, outcome, endedMs, leftovers } of content.ended) {
+      for (const [, run] of leftovers) completeLife(run);
       state.ended.set(id, { outcome, endedMs, leftovers: new Map(leftovers) });
+    }
     return state;
   },
 };
+
+/** Of runs that a former version recorded it is not known on which life of the worker they are. */
+function completeLife(run: { born?: number }): void {
+  run.born ??= 0;
+}
--- a/packages/cell-state/src/task-progress.ts
+++ b/packages/cell-state/src/task-progress.ts
@@ -5,6 +5,8 @@
   run: number;
   /** Worker of the newest run; empty before the first. */
   worker: string;
+  /** Start of the worker's life for which the newest run was meant, as Unix ms; 0 when not known. */
+  born: number;
   failures: number;
   /** Newest durable checkpoint; empty for none. */
   checkpoint: string;
--- a/packages/cell-types/src/cell-record.ts
+++ b/packages/cell-types/src/cell-record.ts
@@ -16,6 +16,8 @@
   | { kind: 'cancel'; id: string }
   /** The owner is about to send the start of a run to a worker. */
   | { kind: 'start'; task: string; run: number; worker: string }
+  /** The owner has reached a life of a worker; later starts on the worker are starts on this life. */
+  | { kind: 'life'; worker: string; born: number }
   /** A worker has confirmed the first start of a task of the job. */
-  | { kind: 'begun'; id: string }
+  | { kind: 'begun'; job: string }
   | { kind: 'end'; task: string; run: number; how: RunEnd; saved: string };
