Do not refuse a submission while an attempt to append it is open

What callers saw: 503, "not run", for jobs that started seconds later (REFUSED).

Cause: an append that is not answered is repeated beside the open attempt. The result of an attempt that ended while the flight paused after the refusal of another one was dropped: nobody waited for it at that moment. An attempt that ended as unknown was forgotten in this way, and the next refusal, with no attempt open, was handed to the client as 'refused', although the first attempt could still be carried out. Traced: three late attempts of 12.36 s, refusals from 12.97 s on, 'refused' at 13.69 s, appended at 15.36 s.

Now a result stays among the open attempts until it is taken.

--- a/packages/cell-log/src/append-flight.ts
+++ b/packages/cell-log/src/append-flight.ts
@@ -22,6 +22,15 @@
   onFirstFailure: (result: string, reason: string) => void;
 }
 
+/** The result of one attempt. */
+interface Answer {
+  result: AppendResult;
+  sentMs: number;
+  as: Numbering;
+  /** To be called when the result is taken: one that is not taken must not get lost. */
+  remove: () => void;
+}
+
 /** How a flight ended: the outcome for its callers, and what it means for the producer. */
 interface Landing {
   outcome: AppendOutcome;
@@ -55,9 +64,8 @@
   hasFailed = false;
   private isUnknown = false;
   private attempts = 0;
-  private readonly open = new Set<
-    Promise<{ result: AppendResult; sentMs: number; as: Numbering }>
-  >();
+  /** Attempts whose result was not taken yet. */
+  private readonly open = new Set<Promise<Answer>>();
 
   private constructor(private readonly options: Options) {
     this.startedMs = options.clock.monotonicMs();
@@ -73,6 +81,7 @@
       if (this.open.size < MAX_ATTEMPTS_OPEN) this.attempt();
       const answered = await this.nextAnswer();
       if (answered === undefined) continue;
+      answered.remove();
       const landing = await this.take(answered.result, answered.sentMs, answered.as);
       if (landing !== undefined) return landing;
       if (this.options.isClosed()) return { outcome: this.undecided() };
@@ -84,17 +93,17 @@
     const as = this.numbering;
     const sentMs = clock.monotonicMs();
     this.attempts += 1;
-    const answer = send(records, as).then((result) => {
-      this.open.delete(answer);
-      return { result, sentMs, as };
+    const answer = send(records, as).then((result): Answer => {
+      const remove = (): void => {
+        this.open.delete(answer);
+      };
+      return { result, sentMs, as, remove };
     });
     this.open.add(answer);
   }
 
   /** Undefined when it is time for another attempt. */
-  private async nextAnswer(): Promise<
-    { result: AppendResult; sentMs: number; as: Numbering } | undefined
-  > {
+  private async nextAnswer(): Promise<Answer | undefined> {
     const { clock, repeatMs } = this.options;
     let cancel: () => void = () => undefined;
     const due = new Promise<undefined>((resolve) => {
--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -70,6 +70,43 @@
   expect(calls.length).toEqual(3);
 });
 
+// Guards against "refused" for a record whose first attempt ended without an answer while the flight
+// paused after the refusal of its second one.
+test('a refusal is no refusal when an earlier attempt ends as unknown beside it', async () => {
+  const clock = ManualClock.create();
+  let calls = 0;
+  const appender = Appender.create({
+    clock,
+    log: () => undefined,
+    topic: 't',
+    producer: 'p',
+    epoch: 1,
+    sequence: 0,
+    insists: false,
+    onFenced: () => undefined,
+    store: {
+      append: () => {
+        calls += 1;
+        if (calls > 1) return Promise.resolve({ kind: 'refused', reason: 'busy' });
+        return new Promise((resolve) => {
+          clock.after(230, () => {
+            resolve({ kind: 'unknown', reason: 'lost' });
+          });
+        });
+      },
+    },
+  });
+  const outcome = appender.append([record]);
+  for (let passed = 0; passed < 1_000; passed += 20) {
+    clock.advance(20);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    if (passed === 800) appender.close();
+  }
+  expect(await outcome).toEqual('unknown');
+});
+
 // Guards against a client that waits for a store that has said that nothing was done.
 test('hands a plain refusal to the caller and reuses the number', async () => {
   const { appender, clock, calls } = create([{ kind: 'refused', reason: 'busy' }]);
