Count suspensions of the machine in the age of a replica and of heard counts

A process whose machine was suspended told its clients counts of waiting jobs from before the suspension as if they were young: the steady clock, by which both ages were measured, stands still meanwhile. Only the lease of the owner took the time of day into account.

Evidence, failing before: after a suspension of 5 s a replica said that it was 0 ms old, and a count heard before it was handed on with an age of 0 ms.

A time of day that jumps ahead makes them look older until the next answer; one that is set back changes nothing. The replica also no longer takes an answer that tells an earlier time for the newest one.

--- a/packages/cell-log/src/append-flight.ts
+++ b/packages/cell-log/src/append-flight.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { AppendResult } from '@acaciahoist/cell-types/append-result';
 import { AppendOutcome } from './append-outcome.js';
 
@@ -53,6 +54,7 @@
   }
 
   readonly startedMs: number;
+  readonly started: Instant;
   numbering: Numbering;
   /** The append before this one, while its result is not known. */
   earlier: Promise<unknown> | undefined;
@@ -69,6 +71,7 @@
 
   private constructor(private readonly options: Options) {
     this.startedMs = options.clock.monotonicMs();
+    this.started = Instant.create(options.clock);
     this.numbering = options.numbering;
   }
 
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import type { Instant } from '@acaciahoist/clock/instant';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { AppendFlight } from './append-flight.js';
@@ -18,8 +19,8 @@
   /** Time in ms for which a record waits for others, so that one call takes them all. */
   lingerMs?: () => number;
   onFenced: () => void;
-  /** Records are in the topic from `offset` on, by an append that was sent at `sentMs`. */
-  onAppended?: (offset: number, records: readonly Uint8Array[], sentMs: number) => void;
+  /** Records are in the topic from `offset` on, by an append that was first sent at `sent`. */
+  onAppended?: (offset: number, records: readonly Uint8Array[], sent: Instant) => void;
 }
 
 interface Batch {
@@ -172,7 +173,7 @@
       next.flight.earlier = index === 0 ? undefined : this.open[index - 1]?.landed;
     if (flight.answerMs !== undefined) this.answerMs = flight.answerMs;
     if (outcome === AppendOutcome.appended)
-      this.options.onAppended?.(flight.offset, flight.records, flight.startedMs);
+      this.options.onAppended?.(flight.offset, flight.records, flight.started);
     if (cause === 'fenced') {
       this.isClosed = true;
       this.options.onFenced();
--- a/packages/cell-log/src/index.ts
+++ b/packages/cell-log/src/index.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import { CellState } from '@acaciahoist/cell-state';
 import { recordCodec } from '@acaciahoist/cell-state/record-codec';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
@@ -43,10 +44,10 @@
   private isLost = false;
   private isOverdueRead = false;
   /**
-   * Monotonic time of the newest answer that reached the end of the log. A read that waits is answered
-   * as of the end of its wait, so the time at which it was sent would age a quiet log.
+   * When the newest answer that reached the end of the log arrived. A read that waits is answered as of
+   * the end of its wait, so the time at which it was sent would age a quiet log.
    */
-  private currentAsOfMs = Number.NEGATIVE_INFINITY;
+  private currentAsOf: Instant;
   /** Records that this process appended by offset, until all before them are applied. */
   private readonly appended = new Map<number, readonly Uint8Array[]>();
   private readonly recent = RecentRecords.create();
@@ -56,11 +57,12 @@
 
   private constructor(private readonly options: Options) {
     this.state = CellState.create(options.retentionMs);
+    this.currentAsOf = this.never();
   }
 
   /** Age in ms of what the replica knows. */
   ageMs(): number {
-    return this.options.clock.monotonicMs() - this.currentAsOfMs;
+    return this.currentAsOf.ageMs();
   }
 
   /** Loads the snapshot and follows the log until `stop`. */
@@ -97,7 +99,7 @@
   pause(): void {
     this.isFollowing = false;
     this.isLoaded = false;
-    this.currentAsOfMs = Number.NEGATIVE_INFINITY;
+    this.currentAsOf = this.never();
     this.appended.clear();
   }
 
@@ -113,13 +115,12 @@
 
   /**
    * Applies records that this process appended at `offset`, as soon as all before them are known: they
-   * need not be read. `sentMs` is the time from which the answer tells the end of the log.
+   * need not be read. `sent` is the time from which the answer tells the end of the log.
    */
-  takeAppended(offset: number, records: readonly Uint8Array[], sentMs: number): void {
+  takeAppended(offset: number, records: readonly Uint8Array[], sent: Instant): void {
     this.appended.set(offset, records);
     this.applyAppended();
-    if (this.state.nextOffset === offset + records.length)
-      this.currentAsOfMs = Math.max(this.currentAsOfMs, sentMs);
+    if (this.state.nextOffset === offset + records.length) this.knownAsOf(sent);
     else this.expect(offset + records.length);
   }
 
@@ -203,10 +204,19 @@
     this.applyAppended();
     this.settleWaiters();
     if (this.state.nextOffset < result.end) return false;
-    this.currentAsOfMs = this.options.clock.monotonicMs();
+    this.knownAsOf(Instant.create(this.options.clock));
     return true;
   }
 
+  /** The replica has all that was in the log at this time. */
+  private knownAsOf(instant: Instant): void {
+    if (instant.ageMs() < this.currentAsOf.ageMs()) this.currentAsOf = instant;
+  }
+
+  private never(): Instant {
+    return Instant.create(this.options.clock, Number.POSITIVE_INFINITY);
+  }
+
   private applyAppended(): void {
     for (let isNew = true; isNew;) {
       isNew = false;
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { HeardCount } from '@acaciahoist/cell-front/heard-count';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import type { PeerCalls } from './peer-calls.js';
@@ -50,13 +51,14 @@
   private others: readonly string[] = [];
   private asked = 0;
   private contactMs: number;
-  private pendingMs = Number.NEGATIVE_INFINITY;
+  private pendingAsOf: Instant;
   private pending = new Map<string, number>();
   private isCalling = false;
   private delayMs = 0;
 
   private constructor(private readonly options: Options) {
     this.contactMs = options.clock.monotonicMs();
+    this.pendingAsOf = Instant.create(options.clock, Number.POSITIVE_INFINITY);
   }
 
   /** Another process named the claim that it knows. */
@@ -108,7 +110,7 @@
 
   /** Jobs of a queue that wait for their first start; undefined when that was not heard lately. */
   pendingOf(queue: string): HeardCount | undefined {
-    const ageMs = this.options.clock.monotonicMs() - this.pendingMs;
+    const ageMs = this.pendingAsOf.ageMs();
     if (ageMs > PENDING_AGE_MS) return undefined;
     return { count: this.pending.get(queue) ?? 0, ageMs };
   }
@@ -181,9 +183,9 @@
     this.heardStandbys(reply.standbys);
     if (reply.others.length > 0) this.others = reply.others;
     if (reply.pending === null) return;
-    const nowMs = this.options.clock.monotonicMs();
-    this.contactMs = nowMs;
-    this.pendingMs = nowMs;
+    const { clock } = this.options;
+    this.contactMs = clock.monotonicMs();
+    this.pendingAsOf = Instant.create(clock);
     this.pending = new Map(reply.pending);
   }
 
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -60,8 +60,8 @@
       onFenced: () => {
         onFenced('store');
       },
-      onAppended: (offset, records, sentMs) => {
-        replica.takeAppended(offset, records, sentMs);
+      onAppended: (offset, records, sent) => {
+        replica.takeAppended(offset, records, sent);
       },
     });
     this.owner = CellOwner.create({
