Measure the age of a replica from the question, not from the arrival of the answer

A process told counts of waiting jobs from before an answer of the store that was under way for long (a thin link, a slow store, a busy process), and called them current: the replica was stamped with the time at which the answer arrived.

Evidence, failing before: with an answer that took 700 ms the replica said that it was 0 ms old.

The result of a read now carries an upper bound of its age. An answer with records is true as of the time it was asked for at the earliest; an empty one to a read that waits as of the end of the wait, so that a quiet log does not age. A replica that was asked to read the end of the log is as old as that question. Decisions about liveness (who claims, who is ready, whom to ask, who hands the log on) go by the time since the last answer as before, now named contactAgeMs: a slow store makes answers old, which is no reason to claim less or later.

--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -1,4 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
+import { readAge } from '@acaciahoist/cell-log/read-age';
 import { StoreSilence } from '@acaciahoist/cell-log/store-silence';
 import type { AppendRequest } from '@acaciahoist/cell-types/append-request';
 import type { AppendResult } from '@acaciahoist/cell-types/append-result';
@@ -97,6 +99,7 @@
     from: number,
     waitMs: number,
   ): Promise<ReadResult> {
+    const asked = Instant.create(this.clock);
     await this.pause(WAY_MS);
     if (this.faultFor(caller, 'read') !== CallFault.none) {
       await this.pause(LIMIT_MS);
@@ -112,7 +115,8 @@
       const isEmpty = result.kind === 'records' && result.records.length === 0;
       if (!isEmpty || this.clock.monotonicMs() >= endMs) {
         await this.pause(this.answerMs - WAY_MS);
-        return result;
+        if (result.kind !== 'records') return result;
+        return { ...result, ageMs: readAge(asked, waitMs, result.records.length) };
       }
       await this.pause(POLL_MS);
     }
--- a/packages/cell-emulator/src/emulated-topic.ts
+++ b/packages/cell-emulator/src/emulated-topic.ts
@@ -51,7 +51,7 @@
   read(from: number): ReadResult {
     if (from < this.first) return { kind: 'expired', first: this.first };
     const records = this.records.slice(from - this.first).map((record) => record.data);
-    return { kind: 'records', end: this.end, first: this.first, records };
+    return { kind: 'records', end: this.end, first: this.first, records, ageMs: 0 };
   }
 
   expire(beforeMs: number): void {
--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -10,7 +10,7 @@
 interface Options {
   clock: Clock;
   store: Pick<LogStore, 'append'>;
-  replica: Pick<CellReplica, 'state' | 'ageMs' | 'isLoaded'>;
+  replica: Pick<CellReplica, 'state' | 'contactAgeMs' | 'isLoaded'>;
   log: EventLog;
   topic: string;
   /** Name of this life of the process; unique among all lives. */
@@ -41,7 +41,7 @@
 const VOUCHED_FACTOR = 2.5;
 /** The owner renews every 250 ms, and followers read every 80 ms. */
 const OVERDUE_MS = 450;
-/** A replica older than this says nothing about a silent owner. */
+/** A replica that has heard nothing of the log for this long in ms says nothing about a silent owner. */
 const FRESH_MS = 800;
 /** A tick that is this late means that the process stood still, and its observations are void. */
 const STALL_MS = 700;
@@ -153,7 +153,7 @@
     const nowMs = clock.monotonicMs();
     const elapsedMs = nowMs - this.lastTickMs;
     this.lastTickMs = nowMs;
-    if (elapsedMs > STALL_MS || !replica.isLoaded || replica.ageMs() > FRESH_MS) {
+    if (elapsedMs > STALL_MS || !replica.isLoaded || replica.contactAgeMs() > FRESH_MS) {
       // After a stall or an outage the owner gets time to show itself.
       this.silentMs = Math.min(this.silentMs, silenceMs / 2);
       return;
@@ -191,7 +191,7 @@
       token,
       former: claim?.owner ?? null,
       silentMs: Math.round(this.silentMs),
-      replicaAgeMs: Math.round(replica.ageMs()),
+      replicaAgeMs: Math.round(replica.contactAgeMs()),
     });
     this.silentMs = 0;
     this.dueSinceMs = undefined;
--- a/packages/cell-log/src/index.test.ts
+++ b/packages/cell-log/src/index.test.ts
@@ -5,7 +5,14 @@
 import type { ReadResult } from '@acaciahoist/cell-types/read-result';
 import { CellReplica } from './index.js';
 
-const quiet: ReadResult = { kind: 'records', end: 0, first: 0, records: [] };
+/** An answer of the store to a read that waited in vain, with its age in ms. */
+const quiet = (ageMs: number): ReadResult => ({
+  kind: 'records',
+  end: 0,
+  first: 0,
+  records: [],
+  ageMs,
+});
 
 /** A replica whose reads are answered by the test. */
 function create() {
@@ -47,9 +54,40 @@
   void replica.run();
   await settle();
   clock.advance(400);
-  await answer(quiet);
+  await answer(quiet(0));
   expect(replica.ageMs()).toEqual(0);
   clock.jumpWall(5_000);
   expect(replica.ageMs()).toEqual(5_000);
   replica.stop();
 });
+
+// Guards against counts of waiting jobs from before an answer that was under way for long: its time of
+// arrival says nothing of the time at which it was true.
+test('is as old as the answer that it has read', async () => {
+  const { clock, replica, answer } = create();
+  void replica.run();
+  await settle();
+  clock.advance(700);
+  await answer(quiet(700));
+  expect(replica.ageMs()).toEqual(700);
+  expect(replica.contactAgeMs()).toEqual(0);
+  clock.advance(100);
+  expect(replica.ageMs()).toEqual(800);
+  replica.stop();
+});
+
+// Guards against a replica that looks older after it was asked to catch up and did.
+test('is as old as the question when it was asked to read the end of the log', async () => {
+  const { clock, replica, answer } = create();
+  void replica.run();
+  await settle();
+  await answer(quiet(5_000));
+  const synced = replica.sync(300);
+  // The read that follows the log is still open; the question comes after it.
+  await answer({ kind: 'failed', reason: 'reset' });
+  clock.advance(40);
+  await answer(quiet(40));
+  expect(await synced).toEqual(true);
+  expect(replica.ageMs()).toEqual(40);
+  replica.stop();
+});
--- a/packages/cell-log/src/index.ts
+++ b/packages/cell-log/src/index.ts
@@ -43,11 +43,10 @@
   private isStopped = false;
   private isLost = false;
   private isOverdueRead = false;
-  /**
-   * When the newest answer that reached the end of the log arrived. A read that waits is answered as of
-   * the end of its wait, so the time at which it was sent would age a quiet log.
-   */
+  /** The latest time as of which the replica is known to have all that was in the log. */
   private currentAsOf: Instant;
+  /** Monotonic time at which the newest answer that reached the end of the log arrived. */
+  private contactMs = Number.NEGATIVE_INFINITY;
   /** Records that this process appended by offset, until all before them are applied. */
   private readonly appended = new Map<number, readonly Uint8Array[]>();
   private readonly recent = RecentRecords.create();
@@ -60,11 +59,19 @@
     this.currentAsOf = this.never();
   }
 
-  /** Age in ms of what the replica knows. */
+  /** Upper bound of the age in ms of what the replica knows. */
   ageMs(): number {
     return this.currentAsOf.ageMs();
   }
 
+  /**
+   * Time in ms since an answer reached the end of the log, however old it was. Tells whether this
+   * process hears of the log at all; a slow store makes answers old and is no reason to give up.
+   */
+  contactAgeMs(): number {
+    return this.options.clock.monotonicMs() - this.contactMs;
+  }
+
   /** Loads the snapshot and follows the log until `stop`. */
   async run(): Promise<void> {
     while (!this.isStopped) {
@@ -100,6 +107,7 @@
     this.isFollowing = false;
     this.isLoaded = false;
     this.currentAsOf = this.never();
+    this.contactMs = Number.NEGATIVE_INFINITY;
     this.appended.clear();
   }
 
@@ -110,7 +118,10 @@
   async sync(timeoutMs: number): Promise<boolean> {
     const result = await this.options.store.read(this.options.topic, this.state.nextOffset, 0);
     if (result.kind !== 'records') return false;
-    return this.reach(result.end, timeoutMs);
+    const asOf = Instant.create(this.options.clock, result.ageMs);
+    const isReached = await this.reach(result.end, timeoutMs);
+    if (isReached) this.knownAsOf(asOf);
+    return isReached;
   }
 
   /**
@@ -120,8 +131,10 @@
   takeAppended(offset: number, records: readonly Uint8Array[], sent: Instant): void {
     this.appended.set(offset, records);
     this.applyAppended();
-    if (this.state.nextOffset === offset + records.length) this.knownAsOf(sent);
-    else this.expect(offset + records.length);
+    if (this.state.nextOffset === offset + records.length) {
+      this.knownAsOf(sent);
+      this.contactMs = Math.max(this.contactMs, this.options.clock.monotonicMs() - sent.ageMs());
+    } else this.expect(offset + records.length);
   }
 
   /** Records from `offset` on that were read; undefined when they are not kept. */
@@ -198,13 +211,15 @@
       if (this.state.nextOffset < result.first) await this.skipExpired(result.first);
       return false;
     }
+    const asOf = Instant.create(this.options.clock, result.ageMs);
     // Another read may have brought some of these records meanwhile.
     const known = this.state.nextOffset - from;
     for (const data of result.records.slice(known)) this.applyOne(data);
     this.applyAppended();
     this.settleWaiters();
     if (this.state.nextOffset < result.end) return false;
-    this.knownAsOf(Instant.create(this.options.clock));
+    this.knownAsOf(asOf);
+    this.contactMs = this.options.clock.monotonicMs();
     return true;
   }
 
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -101,9 +101,9 @@
 const QUICK_ANSWER_MS = 100;
 /** A process to which the store owes an answer for this long in ms relays nothing. */
 const RELAY_STORE_SILENT_MS = 600;
-/** An owner whose replica is older than this in ms vouches for nothing: it may have been replaced. */
+/** An owner that has heard nothing of the log for this long in ms vouches for nothing: it may have been replaced. */
 const FEED_AGE_MS = 600;
-/** A process whose replica is older than this in ms asks others who owns the cell. */
+/** A process that has heard nothing of the log for this long in ms asks others who owns the cell. */
 const SEARCH_AGE_MS = 500;
 /** A process without a replica that heard of nobody with one for this long in ms looks for the owner in the store. */
 const LOST_CONTACT_MS = 700;
@@ -111,7 +111,7 @@
 const CONTACT_AGE_MS = 900;
 /** Longest time in ms that another process waits until this one has read the end of the log. */
 const TELL_SYNC_MS = 300;
-/** A replica older than this in ms makes the process not ready: another one serves better. */
+/** A process that has heard nothing of the log for this long in ms is not ready: another one serves better. */
 const READY_AGE_MS = 900;
 
 /** One process of the cell: serves clients from its replica, and owns the cell when it is its turn. */
@@ -352,7 +352,7 @@
   isReady(): boolean {
     if (this.isStopping || this.configuration === undefined) return false;
     if (!this.isHolding) return this.contact.ageMs() < CONTACT_AGE_MS;
-    return this.replica.isLoaded && this.replica.ageMs() < READY_AGE_MS;
+    return this.replica.isLoaded && this.replica.contactAgeMs() < READY_AGE_MS;
   }
 
   /** Hands the cell over and stops claiming it; clients are still served. */
@@ -471,7 +471,7 @@
       if (this.isStopping) return;
       void this.contact.call();
       void this.yieldToLarger();
-      if (this.isHolding && this.replica.ageMs() > SEARCH_AGE_MS) void this.contact.search();
+      if (this.isHolding && this.replica.contactAgeMs() > SEARCH_AGE_MS) void this.contact.search();
       if (!this.isHolding && this.contact.ageMs() > LOST_CONTACT_MS) void this.readHint();
       this.applyMode();
       this.announce();
@@ -577,7 +577,7 @@
     this.term?.helperSeen(address, (step, workers, timeoutMs) =>
       this.askHelper(address, step, workers, timeoutMs),
     );
-    const isCurrent = this.isHolding && this.replica.ageMs() < READY_AGE_MS;
+    const isCurrent = this.isHolding && this.replica.contactAgeMs() < READY_AGE_MS;
     return {
       life: this.self,
       storeSilentMs: this.storeSilentMs(),
@@ -614,7 +614,7 @@
   private async tellOutcome(
     job: string,
   ): Promise<PeerCallMap['relay-outcome']['reply'] | undefined> {
-    if (!this.isHolding || this.replica.ageMs() > READY_AGE_MS) return undefined;
+    if (!this.isHolding || this.replica.contactAgeMs() > READY_AGE_MS) return undefined;
     const known = this.outcomeOf(job);
     if (known !== undefined) return { outcome: known, isAbsent: false };
     const isCurrent = await this.replica.sync(TELL_SYNC_MS);
@@ -635,7 +635,8 @@
     waitMs: number;
   }): Promise<PeerCallMap['read-log']['reply'] | undefined> {
     const { replica } = this;
-    const isCurrent = (): boolean => this.term !== undefined && replica.ageMs() < FEED_AGE_MS;
+    const isCurrent = (): boolean =>
+      this.term !== undefined && replica.contactAgeMs() < FEED_AGE_MS;
     if (!isCurrent()) return undefined;
     if (replica.state.nextOffset <= call.from) await replica.reach(call.from + 1, call.waitMs);
     const records = replica.recordsFrom(call.from);
--- a/packages/cell-process/src/owner-feed.test.ts
+++ b/packages/cell-process/src/owner-feed.test.ts
@@ -27,7 +27,7 @@
     store: {
       read: () => {
         calls.store += 1;
-        return Promise.resolve({ kind: 'records', end: 7, first: 0, records: [] });
+        return Promise.resolve({ kind: 'records', end: 7, first: 0, records: [], ageMs: 0 });
       },
     },
   });
--- a/packages/cell-process/src/owner-feed.ts
+++ b/packages/cell-process/src/owner-feed.ts
@@ -45,7 +45,7 @@
     if (reply.isOk) {
       this.noteFeed(address, true, '');
       const { end, records } = reply.value;
-      return { kind: 'records', end, first: from, records: [...records] };
+      return { kind: 'records', end, first: from, records: [...records], ageMs: 0 };
     }
     this.noteFeed(address, false, reply.error.message);
     this.avoidUntilMs = clock.monotonicMs() + AVOID_MS;
