Add the age of the owner's replica to that of a replica fed by it

A follower that reads the log through the owner told counts of waiting jobs that were older than it knew: the owner hands on a replica that may be 600 ms old, its reply may take up to 450 ms, and the follower counted from the arrival of that reply.

Evidence, failing before: with a replica of 500 ms at the owner, held for 300 ms and under way for 150 ms, the follower took the answer for 0 ms old instead of 650; a reply without an age counted as 0 ms old, too.

The reply to read-log says how old the owner's replica is and for how long the call was held; what else the call took was its way, and may have been the way back. A reply of the previous version has no age: the follower doesn't know how old its replica is then, and doesn't take it for young.

--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -28,6 +28,7 @@
 import type { PeerCalls } from './peer-calls.js';
 import { Relay } from './relay.js';
 import { ReplicaMode } from './replica-mode.js';
+import { toldAge } from './told-age.js';
 import { WorkerDirectory } from './worker-directory.js';
 
 interface Options {
@@ -635,13 +636,20 @@
     waitMs: number;
   }): Promise<PeerCallMap['read-log']['reply'] | undefined> {
     const { replica } = this;
+    const { clock } = this.options;
+    const takenMs = clock.monotonicMs();
     const isCurrent = (): boolean =>
       this.term !== undefined && replica.contactAgeMs() < FEED_AGE_MS;
     if (!isCurrent()) return undefined;
     if (replica.state.nextOffset <= call.from) await replica.reach(call.from + 1, call.waitMs);
     const records = replica.recordsFrom(call.from);
     if (records === undefined || !isCurrent()) return undefined;
-    return { end: replica.state.nextOffset, records };
+    return {
+      end: replica.state.nextOffset,
+      records,
+      ageMs: toldAge.write(replica.ageMs()),
+      heldMs: clock.monotonicMs() - takenMs,
+    };
   }
 
   /** The newest claim that this process knows, for those that cannot read it themselves. */
--- a/packages/cell-process/src/owner-feed.test.ts
+++ b/packages/cell-process/src/owner-feed.test.ts
@@ -57,3 +57,50 @@
   expect(calls).toEqual({ store: 2, owner: 2 });
   expect(events).toEqual(['owner-feed-lost', 'owner-feed-regained']);
 });
+
+/** A feed from an owner whose reply the test gives. */
+function createAnswered() {
+  const clock = ManualClock.create(1_000_000);
+  let reply: (value: unknown) => void = () => undefined;
+  const call = (() =>
+    new Promise((resolve) => {
+      reply = (value) => {
+        resolve(Result.ok(value));
+      };
+    })) as unknown as PeerCalls['call'];
+  const feed = OwnerFeed.create({
+    clock,
+    log: () => undefined,
+    peers: { call },
+    ownerAddress: () => 'owner',
+    store: { read: () => Promise.resolve({ kind: 'failed', reason: 'unused' }) },
+  });
+  return {
+    clock,
+    feed,
+    reply: (value: unknown) => {
+      reply(value);
+    },
+  };
+}
+
+// Guards against ages that add up over several processes, each below a bound of its own (MIXED on
+// capsula-austral-grown): the owner's replica is old already, and its reply takes its time.
+test('adds the age of the replica of the owner and the way of its reply', async () => {
+  const { clock, feed, reply } = createAnswered();
+  const read = feed.read('cell', 7, 400);
+  clock.advance(450);
+  reply({ end: 7, records: [], ageMs: 500, heldMs: 300 });
+  const result = await read;
+  expect(result.kind === 'records' && result.ageMs).toEqual(650);
+});
+
+// Guards against a reply of the previous version, which does not say its age, being taken for young.
+test('does not know the age of a reply without one', async () => {
+  const { clock, feed, reply } = createAnswered();
+  const read = feed.read('cell', 7, 400);
+  clock.advance(10);
+  reply({ end: 7, records: [] });
+  const result = await read;
+  expect(result.kind === 'records' && result.ageMs).toEqual(Number.POSITIVE_INFINITY);
+});
--- a/packages/cell-process/src/owner-feed.ts
+++ b/packages/cell-process/src/owner-feed.ts
@@ -1,8 +1,10 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { ReadResult } from '@acaciahoist/cell-types/read-result';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import type { PeerCalls } from './peer-calls.js';
+import { toldAge } from './told-age.js';
 
 interface Options {
   clock: Clock;
@@ -41,11 +43,14 @@
     if (address === undefined || clock.monotonicMs() < this.avoidUntilMs)
       return store.read(topic, from, waitMs);
     const call = { from, waitMs: Math.min(waitMs, OWNER_WAIT_MS) };
+    const asked = Instant.create(clock);
     const reply = await peers.call(address, 'read-log', call, call.waitMs + CALL_MS);
     if (reply.isOk) {
       this.noteFeed(address, true, '');
-      const { end, records } = reply.value;
-      return { kind: 'records', end, first: from, records: [...records], ageMs: 0 };
+      const { end, records, heldMs = 0 } = reply.value;
+      // The owner told the age when it replied; the rest of the time the call was under way.
+      const ageMs = toldAge.read(reply.value.ageMs) + Math.max(0, asked.ageMs() - heldMs);
+      return { kind: 'records', end, first: from, records: [...records], ageMs };
     }
     this.noteFeed(address, false, reply.error.message);
     this.avoidUntilMs = clock.monotonicMs() + AVOID_MS;
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -2,7 +2,7 @@
 import type { Shape } from './shape.js';
 import { shapes } from './shapes.js';
 
-const { string, number, boolean, bytes, any, nullable, list, object } = shapes;
+const { string, number, boolean, bytes, any, nullable, optional, list, object } = shapes;
 
 /** Most processes, queues and records that a reply lists. */
 const MAX_STANDBYS = 64;
@@ -30,5 +30,10 @@
   advise: object({ advice: any }),
   'relay-record': object({ outcome: string }),
   'relay-outcome': object({ outcome: string, isAbsent: boolean }),
-  'read-log': object({ end: number, records: list(bytes, MAX_RECORDS) }),
+  'read-log': object({
+    end: number,
+    records: list(bytes, MAX_RECORDS),
+    ageMs: optional(nullable(number)),
+    heldMs: optional(number),
+  }),
 };
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -83,7 +83,16 @@
   /** Sent by a follower: records of the cell log from an offset on, as the owner has read them. */
   'read-log': {
     request: { from: number; waitMs: number };
-    reply: { end: number; records: readonly Uint8Array[] };
+    /**
+     * `ageMs`: upper bound of the age of this answer when it was sent, null for unknown; `heldMs`: how
+     * long the call was held. Both are missing from a process of the previous version.
+     */
+    reply: {
+      end: number;
+      records: readonly Uint8Array[];
+      ageMs?: number | null;
+      heldMs?: number;
+    };
   };
   /**
    * Sent by a process without a current replica. `outcome` is empty when the job is not known; `isAbsent`
