Add the age of a count at its teller to the time that the question took

A process without a replica told counts of waiting jobs that were older than it knew: the owner or standby that it had asked counts from a replica of its own age, the question may take 700 ms, and the reader counted from the arrival of the reply.

Evidence, failing before: counts that were 700 ms old at the teller, with a reply after 150 ms and asked for 100 ms later, were handed on with an age of 100 ms instead of 950; counts without an age with one of 0 ms.

The reply to offer-help says how old its counts are, and the reader counts from before it sent the question. Counts from a process of the previous version have no age and are not handed on; that process still counts as one that was heard.

--- a/packages/cell-process/src/cell-contact.test.ts
+++ b/packages/cell-process/src/cell-contact.test.ts
@@ -63,8 +63,29 @@
 test('does not hand on counts from before a suspension', async () => {
   const { clock, contact, calls } = create();
   void contact.call();
-  await calls[0]?.answer(replyWith({ pending: [['q', 14]] }));
+  await calls[0]?.answer(replyWith({ pending: [['q', 14]], pendingAgeMs: 0 }));
   expect(contact.pendingOf('q')?.count).toEqual(14);
   clock.jumpWall(5_000);
   expect(contact.pendingOf('q')).toEqual(undefined);
 });
+
+// Guards against ages that add up over several processes, each below a bound of its own (MIXED on
+// capsula-austral-grown): the teller's replica is old already, and its reply takes its time.
+test('adds the age at the teller and the time that the question took', async () => {
+  const { clock, contact, calls } = create();
+  void contact.call();
+  clock.advance(150);
+  await calls[0]?.answer(replyWith({ pending: [['q', 14]], pendingAgeMs: 700 }));
+  clock.advance(100);
+  expect(contact.pendingOf('q')).toEqual({ count: 14, ageMs: 950 });
+});
+
+// Guards against a reply of the previous version, which does not say its age, being taken for young, and
+// against a process that breaks on it.
+test('does not hand on counts of unknown age', async () => {
+  const { contact, calls } = create();
+  void contact.call();
+  await calls[0]?.answer(replyWith({ pending: [['q', 14]] }));
+  expect(contact.pendingOf('q')).toEqual(undefined);
+  expect(contact.ageMs()).toEqual(0);
+});
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -3,6 +3,7 @@
 import type { HeardCount } from '@acaciahoist/cell-front/heard-count';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import type { PeerCalls } from './peer-calls.js';
+import { toldAge } from './told-age.js';
 
 type Offer = PeerCallMap['offer-help']['request'];
 type Reply = PeerCallMap['offer-help']['reply'];
@@ -154,8 +155,9 @@
       chosen.map(async (address) => {
         // No cores: a process that cannot reach the owner must not attract the cell.
         const offer = this.offer(0);
+        const asked = Instant.create(this.options.clock);
         const reply = await this.options.peers.call(address, 'offer-help', offer, ASK_MS);
-        if (reply.isOk) this.take(reply.value);
+        if (reply.isOk) this.take(reply.value, asked);
       }),
     );
   }
@@ -170,22 +172,24 @@
       return true;
     }
     const offer = this.offer(offeredCores());
+    const asked = Instant.create(this.options.clock);
     const reply = await peers.call(claim.address, 'offer-help', offer, OWNER_CALL_MS);
     if (reply.isErr) return false;
-    this.take(reply.value);
+    this.take(reply.value, asked);
     this.delayMs = Math.min(MAX_OWNER_DELAY_MS, reply.value.loopDelayMs);
     onOwnerReply(claim, reply.value);
     return true;
   }
 
-  private take(reply: Reply): void {
+  /** The counts were true `pendingAgeMs` before the reply was sent, which is not before the question. */
+  private take(reply: Reply, asked: Instant): void {
     this.heardClaim(reply.claim);
     this.heardStandbys(reply.standbys);
     if (reply.others.length > 0) this.others = reply.others;
     if (reply.pending === null) return;
     const { clock } = this.options;
     this.contactMs = clock.monotonicMs();
-    this.pendingAsOf = Instant.create(clock);
+    this.pendingAsOf = Instant.create(clock, toldAge.read(reply.pendingAgeMs) + asked.ageMs());
     this.pending = new Map(reply.pending);
   }
 
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -589,6 +589,7 @@
       others: this.othersFor(address),
       isStandby: this.isChosen(address),
       pending: isCurrent ? this.countPending() : null,
+      pendingAgeMs: toldAge.write(this.replica.ageMs()),
     };
   }
 
--- a/packages/peer-protocol/src/reply-shapes.test.ts
+++ b/packages/peer-protocol/src/reply-shapes.test.ts
@@ -18,3 +18,22 @@
   expect(faultOf('read-log', { ...reply, ageMs: 'young' })).not.toEqual(undefined);
   expect(faultOf('read-log', { ...reply, ageMs: Number.NaN })).not.toEqual(undefined);
 });
+
+// The same for the counts of waiting jobs.
+test('takes replies to offer-help with an age of the counts, an unknown one and none', () => {
+  const reply = {
+    life: 'o/1',
+    storeSilentMs: 0,
+    largestCores: 1,
+    loopDelayMs: 0,
+    claim: null,
+    standbys: [],
+    others: [],
+    isStandby: null,
+    pending: [['q', 14]],
+  };
+  expect(faultOf('offer-help', reply)).toEqual(undefined);
+  expect(faultOf('offer-help', { ...reply, pendingAgeMs: null })).toEqual(undefined);
+  expect(faultOf('offer-help', { ...reply, pendingAgeMs: 12 })).toEqual(undefined);
+  expect(faultOf('offer-help', { ...reply, pendingAgeMs: 'young' })).not.toEqual(undefined);
+});
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -25,6 +25,7 @@
     others: list(string, MAX_PROCESSES),
     isStandby: nullable(boolean),
     pending: nullable(list(list(any, 2), MAX_QUEUES)),
+    pendingAgeMs: optional(nullable(number)),
   }),
   'owner-changed': object({}),
   advise: object({ advice: any }),
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -71,6 +71,11 @@
       isStandby: boolean | null;
       /** Jobs that wait for their first start, by queue; null from a process whose replica is not current. */
       pending: readonly (readonly [string, number])[] | null;
+      /**
+       * Upper bound of the age of these counts when the reply was sent; null for unknown, missing from a
+       * process of the previous version.
+       */
+      pendingAgeMs?: number | null;
     };
   };
   /** Sent by a new owner to all processes that it knows of. */
