Keep the newer of two heard counts when the older one comes last

A process without a replica believed an older count of waiting jobs again after it had heard a newer one: it asks standbys when the owner has not answered within 200 ms, and the late reply of the owner replaced theirs.

Evidence, failing before: 172 waiting jobs were heard from a standby, 20 ms old; the reply of the owner to an earlier question came 400 ms later with 14, and 14 was handed on.

Counts are replaced only by those whose bound is not older.

--- a/packages/cell-process/src/cell-contact.test.ts
+++ b/packages/cell-process/src/cell-contact.test.ts
@@ -89,3 +89,17 @@
   expect(contact.pendingOf('q')).toEqual(undefined);
   expect(contact.ageMs()).toEqual(0);
 });
+
+// Guards against a count that is believed again after a newer one was heard: the owner's reply was under
+// way for long, and a standby was asked meanwhile.
+test('keeps the newer of two counts, whichever comes last', async () => {
+  const { clock, contact, calls } = create();
+  contact.heardStandbys([['s', 'd']]);
+  void contact.call();
+  clock.advance(200);
+  expect(calls.map(({ address }) => address)).toEqual(['o', 's', 'o']);
+  await calls[1]?.answer(replyWith({ pending: [['q', 172]], pendingAgeMs: 20 }));
+  clock.advance(400);
+  await calls[0]?.answer(replyWith({ pending: [['q', 14]], pendingAgeMs: 0 }));
+  expect(contact.pendingOf('q')).toEqual({ count: 172, ageMs: 420 });
+});
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -189,7 +189,10 @@
     if (reply.pending === null) return;
     const { clock } = this.options;
     this.contactMs = clock.monotonicMs();
-    this.pendingAsOf = Instant.create(clock, toldAge.read(reply.pendingAgeMs) + asked.ageMs());
+    const asOf = Instant.create(clock, toldAge.read(reply.pendingAgeMs) + asked.ageMs());
+    // Replies to several questions may overtake each other.
+    if (asOf.ageMs() > this.pendingAsOf.ageMs()) return;
+    this.pendingAsOf = asOf;
     this.pending = new Map(reply.pending);
   }
 
