Bound the age of a count of waiting jobs where a client is answered

Callers were told counts of any age: a process with a replica that was seconds behind told its count when it had heard no other lately (thin link, busy process), and took its own count for good as long as it was below 1.5 s although a younger one had been heard. A process that heard nobody refused the question although another one had the answer.

Evidence, failing before: a replica that was 1501 ms old, or 5 s, told its count; a replica of 1.4 s with 0 jobs won over a count of 172 that was heard 100 ms before; nobody was asked, and a count heard 5 s before was told.

The bounds in CellContact and beside it are gone, since their ages add up to a true one.

The emulator compares a count with the jobs that wait when it is answered, since an answer may take time now; its bound is unchanged.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -362,7 +362,7 @@
   faultStarts(CallFault.none);
   await cell.run(10_000);
   const survivor = cell.processes.find(({ isUp }) => isUp);
-  expect(survivor?.process.front.pendingOf('q')).toEqual(0);
+  expect(await survivor?.process.front.pendingOf('q')).toEqual(0);
   expect(cell.unfinished()).toEqual([]);
 });
 
@@ -375,6 +375,7 @@
   await cell.run(6_000);
   expect(await submitted).toEqual('accepted');
   cell.checkCounts();
+  await cell.run(400);
   expect(cell.history.filter(({ kind }) => kind === 'started')).toEqual([]);
   expect(cell.violations()).toEqual([]);
   expect(cell.processes[0]?.process.outcomeOf(makeJob(1).id)).toEqual('queued');
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -216,21 +216,33 @@
     return true;
   }
 
-  /** Asks each process how many jobs of the queue wait, and notes counts that are too low. */
+  /**
+   * Asks each process how many jobs of the queue wait, and notes counts that are too low at the time of
+   * the answer; an answer may need the clock to run.
+   */
   checkCounts(queue = 'q'): void {
+    for (const { name, process, isUp } of this.processes) {
+      if (!isUp) continue;
+      void process.front.pendingOf(queue).then((told) => {
+        if (told === undefined || this.lowCounts.has(name)) return;
+        const waiting = this.countWaiting();
+        if (told >= waiting) return;
+        const nowMs = this.clock.monotonicMs();
+        this.lowCounts.set(name, `${name} tells ${told} of ${waiting} waiting jobs at ${nowMs} ms`);
+      });
+    }
+  }
+
+  /** Jobs that were accepted before the age that a count may have, and of which no task has started. */
+  private countWaiting(): number {
     const nowMs = this.clock.monotonicMs();
     const started = new Set(
       this.history.filter(({ kind }) => kind === 'started').map(({ task }) => taskName.jobOf(task)),
     );
-    const waiting = [...this.acceptedMs].filter(
+    return [...this.acceptedMs].filter(
       ([id, acceptedMs]) =>
         acceptedMs <= nowMs - COUNT_AGE_MS && !started.has(id) && !this.askedToCancel.has(id),
     ).length;
-    for (const { name, process, isUp } of this.processes) {
-      const told = isUp ? process.front.pendingOf(queue) : undefined;
-      if (told === undefined || told >= waiting || this.lowCounts.has(name)) continue;
-      this.lowCounts.set(name, `${name} tells ${told} of ${waiting} waiting jobs at ${nowMs} ms`);
-    }
   }
 
   violations(): string[] {
--- a/packages/cell-front/src/heard-count.ts
+++ b/packages/cell-front/src/heard-count.ts
@@ -1,4 +1,4 @@
-/** A count that another process told, with the time in ms since it was heard. */
+/** A count that another process told, with an upper bound of its age in ms. */
 export interface HeardCount {
   count: number;
   ageMs: number;
--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -4,6 +4,7 @@
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import { CellState } from '@acaciahoist/cell-state';
 import type { CellJob } from '@acaciahoist/cell-types';
+import type { HeardCount } from './heard-count.js';
 import { CellFront } from './index.js';
 import type { RemoteOutcome } from './remote-outcome.js';
 
@@ -25,7 +26,10 @@
   synced?: boolean;
   relayAppend?: () => Promise<'appended' | 'refused' | 'unknown'>;
   asked?: RemoteOutcome;
-  heardPending?: number;
+  replicaAgeMs?: number;
+  heard?: HeardCount;
+  /** What others tell when they are asked for their counts; undefined when they do not answer. */
+  askCounts?: () => Promise<HeardCount | undefined>;
   /** True for a process without a replica. */
   isThin?: boolean;
 }
@@ -33,20 +37,27 @@
 function create(setup: Setup): { front: CellFront; clock: ManualClock; state: CellState } {
   const clock = ManualClock.create();
   const state = CellState.create(1_000);
+  let { heard } = setup;
+  let { replicaAgeMs = Number.POSITIVE_INFINITY } = setup;
   const front = CellFront.create({
     clock,
     log: () => undefined,
     count: () => undefined,
     state: () => (setup.isThin === true ? undefined : state),
-    replicaAgeMs: () => Number.POSITIVE_INFINITY,
+    replicaAgeMs: () => replicaAgeMs,
     contactAgeMs: () => setup.contactAgeMs ?? 0,
     storeSilentMs: () => setup.storeSilentMs ?? 0,
-    sync: () => Promise.resolve(setup.synced ?? true),
+    sync: () => {
+      if (setup.synced !== false) replicaAgeMs = 0;
+      return Promise.resolve(setup.synced ?? true);
+    },
     relayAppend: setup.relayAppend ?? ((): Promise<'refused'> => Promise.resolve('refused')),
     relayThroughStandby: () => Promise.resolve('refused'),
     askOutcome: () => Promise.resolve(setup.asked),
-    heardPending: () =>
-      setup.heardPending === undefined ? undefined : { count: setup.heardPending, ageMs: 0 },
+    heardPending: () => heard,
+    askCounts: async () => {
+      heard = (await setup.askCounts?.()) ?? heard;
+    },
     retentionMs: 120_000,
     append: setup.append ?? ((): Promise<'appended'> => Promise.resolve('appended')),
   });
@@ -227,9 +238,63 @@
 });
 
 // Guards against counts of waiting jobs that are older than clients may be told.
-test('counts waiting jobs without a replica only as long as others told lately', () => {
-  expect(create({ isThin: true, heardPending: 7 }).front.pendingOf('q')).toEqual(7);
-  expect(create({ isThin: true }).front.pendingOf('q')).toEqual(undefined);
+test('counts waiting jobs without a replica only as long as others told lately', async () => {
+  const pendingOf = (heard?: HeardCount): Promise<number | undefined> =>
+    Promise.resolve(create({ isThin: true, ...(heard && { heard }) }).front.pendingOf('q'));
+  expect(await pendingOf({ count: 7, ageMs: 0 })).toEqual(7);
+  expect(await pendingOf({ count: 7, ageMs: 1_500 })).toEqual(7);
+  expect(await pendingOf({ count: 7, ageMs: 1_501 })).toEqual(undefined);
+  expect(await pendingOf()).toEqual(undefined);
+});
+
+// Guards against a count from a replica that is seconds behind (MIXED on capsula-austral-grown): it was
+// told when no other process was heard of.
+test('does not tell the count of a replica that is too old', async () => {
+  const { front, state } = create({ replicaAgeMs: 1_501, synced: false });
+  state.apply({ kind: 'job', job });
+  expect(await front.pendingOf('q')).toEqual(undefined);
+});
+
+// Guards against an older count that is told although a younger one is known.
+test('tells the younger of the count of the replica and the one that was heard', async () => {
+  const heard = { count: 172, ageMs: 100 };
+  expect(await create({ replicaAgeMs: 1_400, heard }).front.pendingOf('q')).toEqual(172);
+  expect(await create({ replicaAgeMs: 50, heard }).front.pendingOf('q')).toEqual(0);
+});
+
+// Guards against a refusal of a question to which the log or another process has the answer.
+test('reads the end of the log or asks others before it refuses to tell a count', async () => {
+  const behind = create({ replicaAgeMs: 5_000, synced: true });
+  behind.state.apply({ kind: 'job', job });
+  expect(await behind.front.pendingOf('q')).toEqual(1);
+  const askCounts = (): Promise<HeardCount> => Promise.resolve({ count: 172, ageMs: 20 });
+  const thin = create({ isThin: true, heard: { count: 14, ageMs: 5_000 }, askCounts });
+  expect(await thin.front.pendingOf('q')).toEqual(172);
+  const cutOff = create({ replicaAgeMs: 5_000, synced: false, askCounts });
+  expect(await cutOff.front.pendingOf('q')).toEqual(172);
+});
+
+// Guards against clients that wait for processes that do not answer, one after the other, and against
+// questions that multiply with the clients.
+test('asks for counts once for all clients, and refuses them while nobody answers', async () => {
+  let questions = 0;
+  const { front, clock } = create({
+    isThin: true,
+    askCounts: () => {
+      questions += 1;
+      return new Promise(() => undefined);
+    },
+  });
+  const told = Promise.all([front.pendingOf('q'), front.pendingOf('q')]);
+  await settleCalls();
+  clock.advance(300);
+  expect(await told).toEqual([undefined, undefined]);
+  expect(await front.pendingOf('q')).toEqual(undefined);
+  expect(questions).toEqual(1);
+  clock.advance(500);
+  void front.pendingOf('q');
+  await settleCalls();
+  expect(questions).toEqual(2);
 });
 
 // Load pattern: a data centre that is cut off from the store and from all others. Guards against clients
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -9,6 +9,7 @@
 import type { CellState } from '@acaciahoist/cell-state';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import type { HeardCount } from './heard-count.js';
+import { PendingCounts } from './pending-counts.js';
 import { RecentMap } from './recent-map.js';
 import type { RemoteOutcome } from './remote-outcome.js';
 import { storeRecord } from './store-record.js';
@@ -19,7 +20,7 @@
   count: (name: string, by?: number) => void;
   /** The own replica; undefined while this process holds none. */
   state: () => CellState | undefined;
-  /** Age in ms of what the replica knows. */
+  /** Upper bound of the age in ms of what the replica knows. */
   replicaAgeMs: () => number;
   /** Time in ms since another process with a current replica answered. */
   contactAgeMs: () => number;
@@ -34,8 +35,10 @@
   relayThroughStandby: (record: CellRecord) => Promise<'appended' | 'refused' | 'unknown'>;
   /** Asks other processes for a job; undefined when none of them can say. */
   askOutcome: (id: string) => Promise<RemoteOutcome | undefined>;
-  /** Waiting jobs of a queue as another process counted them; undefined when that was not heard lately. */
+  /** Waiting jobs of a queue as another process counted them; undefined when none told. */
   heardPending: (queue: string) => HeardCount | undefined;
+  /** Asks other processes for their counts; resolves when they have answered or will not. */
+  askCounts: () => Promise<void>;
   /** How long ended jobs are remembered, in ms. */
   retentionMs: number;
 }
@@ -50,8 +53,6 @@
 const MIN_HEDGE_MS = 250;
 const MAX_HEDGE_MS = 900;
 const HEDGE_FACTOR = 2;
-/** Counts of waiting jobs older than this in ms are taken from others that have newer ones. */
-const PENDING_AGE_MS = 1_500;
 /** Longest time in ms that an answer waits for the replica to catch up. */
 const SYNC_MS = 1_000;
 /** Jobs that are remembered as accepted or ended here; more only cost a question to another process. */
@@ -72,6 +73,7 @@
   private readonly accepted: RecentMap<true>;
   /** Outcomes that other processes told; an ended job stays as it is. */
   private readonly ended: RecentMap<JobOutcome>;
+  private readonly counts: PendingCounts;
 
   /** Time in ms that the newest record took to be stored. */
   private storedMs = 0;
@@ -81,6 +83,7 @@
     const bounds = { clock, maxAgeMs: retentionMs, maxSize: MAX_REMEMBERED };
     this.accepted = RecentMap.create(bounds);
     this.ended = RecentMap.create(bounds);
+    this.counts = PendingCounts.create(options);
   }
 
   /**
@@ -147,19 +150,8 @@
   }
 
   /** Accepted jobs of a queue for which no task has started; undefined when that is not known. */
-  pendingOf(queue: string): number | undefined {
-    const { log, replicaAgeMs, heardPending } = this.options;
-    const state = this.options.state();
-    const isOld = state === undefined || replicaAgeMs() > PENDING_AGE_MS;
-    const heard = isOld ? heardPending(queue) : undefined;
-    const pending = heard?.count ?? state?.pendingOf(queue);
-    log('info', 'pending-told', {
-      queue,
-      pending: pending ?? null,
-      source: heard === undefined ? 'replica' : 'heard',
-      ageMs: Math.round(heard?.ageMs ?? replicaAgeMs()),
-    });
-    return pending;
+  pendingOf(queue: string): Promise<number | undefined> {
+    return this.counts.of(queue);
   }
 
   /** To be called for every job record that the replica applied. */
--- a/packages/cell-process/src/cell-contact.test.ts
+++ b/packages/cell-process/src/cell-contact.test.ts
@@ -60,13 +60,13 @@
 }
 
 // Guards against a count that was heard before the machine was suspended and looks young after it.
-test('does not hand on counts from before a suspension', async () => {
+test('counts a suspension in the age of a heard count', async () => {
   const { clock, contact, calls } = create();
   void contact.call();
   await calls[0]?.answer(replyWith({ pending: [['q', 14]], pendingAgeMs: 0 }));
   expect(contact.pendingOf('q')?.count).toEqual(14);
   clock.jumpWall(5_000);
-  expect(contact.pendingOf('q')).toEqual(undefined);
+  expect(contact.pendingOf('q')).toEqual({ count: 14, ageMs: 5_000 });
 });
 
 // Guards against ages that add up over several processes, each below a bound of its own (MIXED on
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -34,8 +34,6 @@
 const ASK_MS = 250;
 /** Processes that are asked at a time. */
 const ASKED = 2;
-/** Counts of waiting jobs older than this in ms are not handed on; clients may be told what is 2 s old. */
-const PENDING_AGE_MS = 1_500;
 
 /**
  * What a process knows of the others: who owns the cell, who holds a replica, and what they last said.
@@ -109,10 +107,10 @@
     return this.delayMs;
   }
 
-  /** Jobs of a queue that wait for their first start; undefined when that was not heard lately. */
+  /** Jobs of a queue that wait for their first start; undefined when nobody told with an age. */
   pendingOf(queue: string): HeardCount | undefined {
     const ageMs = this.pendingAsOf.ageMs();
-    if (ageMs > PENDING_AGE_MS) return undefined;
+    if (ageMs === Number.POSITIVE_INFINITY) return undefined;
     return { count: this.pending.get(queue) ?? 0, ageMs };
   }
 
@@ -142,7 +140,7 @@
     if (!isHeard && !isAsked) await this.search();
   }
 
-  /** Asks some of the known processes, in turn, who owns the cell. */
+  /** Asks some of the known processes, in turn, who owns the cell and for their counts. */
   async search(): Promise<void> {
     const known = this.replicaAddresses();
     const count = Math.min(ASKED, known.length);
--- a/packages/cell-process/src/index.ts
+++ b/packages/cell-process/src/index.ts
@@ -256,6 +256,7 @@
       relayThroughStandby: (record) => relay.appendThroughStandby(recordCodec.encode(record)),
       askOutcome: (id) => relay.outcomeOf(id),
       heardPending: (queue) => this.contact.pendingOf(queue),
+      askCounts: () => this.contact.search(),
       retentionMs: options.retentionMs,
     });
     this.configurationFollower = KeyedFollower.create({
