Do not deny a job because the replica was given up meanwhile

A client that asked for an accepted job could be told that no such job exists (410): the process didn't find the job in its replica yet, waited for the end of the log, gave its replica up during that wait because the owner had chosen other standbys, and then looked the job up in no state at all although the wait had succeeded.

Evidence, failing before: with a replica that is given up during the wait the outcome was unknown-job although another process knew the job as running.

The process asks the others then, as any process without a replica does.

--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -32,6 +32,8 @@
   askCounts?: () => Promise<HeardCount | undefined>;
   /** True for a process without a replica. */
   isThin?: boolean;
+  /** True for a process that gives its replica up while it reads the end of the log. */
+  givesUp?: boolean;
 }
 
 function create(setup: Setup): { front: CellFront; clock: ManualClock; state: CellState } {
@@ -39,15 +41,17 @@
   const state = CellState.create(1_000);
   let { heard } = setup;
   let { replicaAgeMs = Number.POSITIVE_INFINITY } = setup;
+  let isThin = setup.isThin === true;
   const front = CellFront.create({
     clock,
     log: () => undefined,
     count: () => undefined,
-    state: () => (setup.isThin === true ? undefined : state),
+    state: () => (isThin ? undefined : state),
     replicaAgeMs: () => replicaAgeMs,
     contactAgeMs: () => setup.contactAgeMs ?? 0,
     storeSilentMs: () => setup.storeSilentMs ?? 0,
     sync: () => {
+      isThin ||= setup.givesUp === true;
       if (setup.synced !== false) replicaAgeMs = 0;
       return Promise.resolve(setup.synced ?? true);
     },
@@ -237,6 +241,17 @@
   expect(outcome.isOk && outcome.value).toEqual('queued');
 });
 
+// Guards against "no such job" for an accepted job (LOST): the process gave its replica up while it read
+// the end of the log, and then looked the job up in none.
+test('asks others for a job when it gave its replica up meanwhile', async () => {
+  const asked: RemoteOutcome = { kind: 'known', outcome: 'running' };
+  const { front } = create({ replicaAgeMs: 0, givesUp: true, asked });
+  const outcome = await front.outcomeOf(job.id);
+  expect(outcome.isOk && outcome.value).toEqual('running');
+  const alone = await create({ replicaAgeMs: 0, givesUp: true }).front.outcomeOf(job.id);
+  expect(alone.isErr && alone.error.kind).toEqual(ErrorKind.logUnavailable);
+});
+
 // Guards against counts of waiting jobs that are older than clients may be told.
 test('counts waiting jobs without a replica only as long as others told lately', async () => {
   const pendingOf = (heard?: HeardCount): Promise<number | undefined> =>
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -109,7 +109,9 @@
     }
     if (known !== undefined) return Result.ok(known);
     const isCurrent = await this.options.sync(SYNC_MS);
-    const found = this.options.state()?.outcomeOf(id) ?? this.overlay(id);
+    const synced = this.options.state();
+    if (synced === undefined) return this.askedOutcome(id);
+    const found = synced.outcomeOf(id) ?? this.overlay(id);
     if (found !== undefined) return Result.ok(found);
     return Result.err(isCurrent ? unknownJob(id) : this.unavailable(`job ${id} is not known here`));
   }
