Measure the age of an emulated read at its caller

The emulated store measured it when it sent the answer; a caller that gets to an answer late, as one that stands still, must count that time too, as the client of the real store does.

--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -68,8 +68,13 @@
           this.append(caller, request),
           ({ kind }) => kind !== 'unknown' && kind !== 'refused',
         ),
-      read: (topic, from, waitMs) =>
-        note(waitMs, this.read(caller, topic, from, waitMs), ({ kind }) => kind !== 'failed'),
+      read: async (topic, from, waitMs) => {
+        const asked = Instant.create(this.clock);
+        const call = this.read(caller, topic, from, waitMs);
+        const result = await note(waitMs, call, ({ kind }) => kind !== 'failed');
+        if (result.kind !== 'records') return result;
+        return { ...result, ageMs: readAge(asked, waitMs, result.records.length) };
+      },
       newest: (topic) => note(0, this.newest(caller, topic), (page) => page !== undefined),
       encodeKeyed,
       decodeKeyed,
@@ -99,7 +104,6 @@
     from: number,
     waitMs: number,
   ): Promise<ReadResult> {
-    const asked = Instant.create(this.clock);
     await this.pause(WAY_MS);
     if (this.faultFor(caller, 'read') !== CallFault.none) {
       await this.pause(LIMIT_MS);
@@ -115,8 +119,7 @@
       const isEmpty = result.kind === 'records' && result.records.length === 0;
       if (!isEmpty || this.clock.monotonicMs() >= endMs) {
         await this.pause(this.answerMs - WAY_MS);
-        if (result.kind !== 'records') return result;
-        return { ...result, ageMs: readAge(asked, waitMs, result.records.length) };
+        return result;
       }
       await this.pause(POLL_MS);
     }
