Play faults between processes, and processes that stand still, in the cell emulator

Calls between the processes of an emulated cell always succeeded at once, and a process never stood still, so that no test and no random schedule could find a fault of a hand-over between processes.

- PausableClock: each life of a process has its own view of the clock.
Timers and answers are held back while it is paused or suspended; then they come one by one, timers or answers first as the seed says.
- An answer of a worker is lost as well when the connection is cut after the call was sent.
- Random schedules: a data centre cut off, one process cut off from its peers (one way and both), answers of peers lost, calls late or slow, an owner without power, paused or suspended, any process paused. strike and playSchedule left cell.test.ts, so that schedules can be run by hand.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -3,12 +3,14 @@
 import fc from 'fast-check';
 import { CallFault } from './call-fault.js';
 import { EmulatedCell } from './index.js';
+import { faultKinds } from './fault-kinds.js';
 import { makeJob } from './make-job.js';
+import { playSchedule } from './play-schedule.js';
+import type { ScheduleFault } from './schedule-fault.js';
+import { strike } from './strike.js';
 
 /** Room for the take-over, the longest lease and late orders after the last fault. */
 const SETTLE_MS = 40_000;
-/** Interval in ms at which the counts of waiting jobs are checked. */
-const COUNT_INTERVAL_MS = 200;
 
 async function startCell(seed: number): Promise<EmulatedCell> {
   const cell = EmulatedCell.create({ seed, processes: 3, workers: 4 });
@@ -503,152 +505,99 @@
   expect(thinNames(cell).length).toEqual(5);
 });
 
-const fault = fc.record({
+// Guards against a hand-over around which two processes act: an owner that stood still is replaced, its
+// work is adopted as it runs, and what it does when it goes on has no effect.
+test('replaces an owner that stands still, without a second run and without a stop', async () => {
+  for (const halt of ['pause', 'suspend'] as const) {
+    const cell = await startCell(50);
+    const owner = cell.ownerName() ?? '';
+    const submitted = cell.submit(makeJob(1, [{ count: 8, estimateMs: 6_000 }]), owner);
+    await cell.run(500);
+    expect(await submitted).toEqual('accepted');
+    cell[halt](owner);
+    await cell.run(3_000);
+    expect(cell.ownerName()).not.toEqual(owner);
+    await cell.resume(owner);
+    await cell.run(9_000);
+    expect(cell.processes.filter(({ process }) => process.isOwner()).length).toEqual(1);
+    expect(cell.orders.filter(({ kind }) => kind === 'stop')).toEqual([]);
+    expect(cell.history.filter(({ kind }) => kind === 'started').length).toEqual(8);
+    expect(cell.violations()).toEqual([]);
+    expect(cell.unfinished()).toEqual([]);
+  }
+});
+
+// Guards against the work of a data centre that was only silent for a while: it must go on there, and
+// must not be started again elsewhere or given up.
+test('keeps the work of a data centre through a cut of 5 s', async () => {
+  for (const pick of [0, 1, 2]) {
+    const cell = await startCell(51);
+    const submitted = cell.submit(makeJob(1, [{ count: 16, estimateMs: 9_000 }]), 'p0');
+    await cell.run(500);
+    expect(await submitted).toEqual('accepted');
+    const owner = cell.ownerName();
+    const heal = strike(cell, { atMs: 0, forMs: 0, kind: 'data-centre-cut', pick });
+    await cell.run(5_000);
+    const isOwnerCut = owner === `p${pick}`;
+    expect(cell.ownerName() === owner || isOwnerCut).toEqual(true);
+    expect(cell.lines.some((line) => line.includes('worker-lost'))).toEqual(true);
+    await heal();
+    await cell.run(12_000);
+    expect(cell.history.filter(({ kind }) => kind === 'started').length).toEqual(16);
+    expect(cell.history.filter(({ how }) => how !== undefined && how !== 'done')).toEqual([]);
+    expect(cell.violations()).toEqual([]);
+    expect(cell.unfinished()).toEqual([]);
+  }
+});
+
+// Guards against a client that is told that its job did not run, although the record that was relayed for
+// it is stored and only the answer was lost.
+test('never refuses a job whose relayed record may be stored', async () => {
+  const cell = await startLargeCell(52);
+  const [thin = ''] = thinNames(cell);
+  cell.store.faultFor = (caller) => (caller === thin ? CallFault.refused : CallFault.none);
+  cell.peers.faultFor = (_caller, _callee, type) =>
+    type === 'relay-record' ? CallFault.answerLost : CallFault.none;
+  const submitted = [1, 2, 3].map((number) => cell.submit(makeJob(number), thin));
+  await cell.run(4_000);
+  expect(await Promise.all(submitted)).toEqual(['unknown', 'unknown', 'unknown']);
+  expect(cell.history.filter(({ kind }) => kind === 'started').length).toEqual(3);
+  expect(cell.violations()).toEqual([]);
+});
+
+// Guards against a process that cannot reach its peers, and takes the cell from an owner that works.
+test('leaves the cell to its owner while one process is cut off from its peers only', async () => {
+  for (const kind of ['peers-cut', 'peers-cut-inward', 'peers-cut-outward'] as const)
+    for (const pick of [0, 1, 2]) {
+      const cell = await startCell(53);
+      const owner = cell.ownerName();
+      const heal = strike(cell, { atMs: 0, forMs: 0, kind, pick });
+      const submitted = [1, 2, 3].map((number) => cell.submit(makeJob(number), `p${pick}`));
+      await cell.run(3_000);
+      expect(await Promise.all(submitted)).toEqual(['accepted', 'accepted', 'accepted']);
+      await cell.run(3_000);
+      expect(cell.ownerName()).toEqual(owner);
+      await heal();
+      await cell.run(2_000);
+      expect(cell.violations()).toEqual([]);
+      expect(cell.unfinished()).toEqual([]);
+    }
+});
+
+const fault = fc.record<ScheduleFault>({
   atMs: fc.integer({ min: 0, max: 12_000 }),
   forMs: fc.integer({ min: 200, max: 6_000 }),
-  kind: fc.constantFrom(
-    'kill-owner',
-    'kill-all',
-    'store-refuses',
-    'store-silent',
-    'store-answers-lost',
-    'store-late',
-    'store-away-from-owner',
-    'worker-crash',
-    'worker-gone',
-    'worker-cut',
-    'orders-late',
-    'answers-lost',
-    'cancel',
-  ),
+  kind: fc.constantFrom(...faultKinds),
   pick: fc.integer({ min: 0, max: 3 }),
 });
-type Fault = typeof fault extends fc.Arbitrary<infer Value> ? Value : never;
-
-function strike(cell: EmulatedCell, { kind, pick }: Fault): () => void {
-  const worker = [...cell.workers.values()][pick % cell.workers.size];
-  const heal: (() => void)[] = [];
-  const storeFault = (found: CallFault, only?: string): void => {
-    cell.store.faultFor = (caller, call) =>
-      (only === undefined || caller === only) && (call === 'append' || found !== CallFault.late)
-        ? found
-        : CallFault.none;
-    heal.push(() => {
-      cell.store.faultFor = () => CallFault.none;
-    });
-  };
-  switch (kind) {
-    case 'kill-owner':
-    case 'kill-all': {
-      const victims =
-        kind === 'kill-all' ? cell.processes.map(({ name }) => name) : [cell.ownerName() ?? 'p0'];
-      for (const name of victims) cell.kill(name);
-      heal.push(() => {
-        for (const name of victims) void cell.boot(name);
-      });
-      break;
-    }
-    case 'store-refuses':
-      storeFault(CallFault.refused);
-      break;
-    case 'store-silent':
-      storeFault(CallFault.lost);
-      break;
-    case 'store-answers-lost':
-      storeFault(CallFault.answerLost);
-      break;
-    case 'store-late':
-      storeFault(CallFault.late);
-      break;
-    case 'store-away-from-owner':
-      storeFault(CallFault.lost, cell.ownerName() ?? 'p0');
-      break;
-    case 'worker-crash':
-      worker?.crash();
-      heal.push(() => {
-        if (worker !== undefined) cell.addWorker(worker.entry.id);
-      });
-      break;
-    case 'worker-gone':
-      worker?.crash();
-      heal.push(() => {
-        cell.addWorker(`w${cell.workers.size}`);
-      });
-      break;
-    case 'worker-cut':
-      cell.isCut = (_process, id) => id === worker?.entry.id;
-      heal.push(() => {
-        cell.isCut = () => false;
-      });
-      break;
-    case 'orders-late':
-    case 'answers-lost': {
-      const found = kind === 'orders-late' ? CallFault.late : CallFault.answerLost;
-      if (worker !== undefined) worker.faultFor = () => found;
-      heal.push(() => {
-        if (worker !== undefined) worker.faultFor = () => CallFault.none;
-      });
-      break;
-    }
-    case 'cancel': {
-      const id = [...cell.accepted][pick];
-      if (id !== undefined) void cell.cancel(id, 'p1');
-      break;
-    }
-  }
-  return () => {
-    for (const run of heal) run();
-  };
-}
 
-/** Runs a load with faults; returns what was broken. */
+/** Runs a schedule; returns what was broken, and prints it. */
 async function play(
   seed: number,
-  faults: readonly Fault[],
+  faults: readonly ScheduleFault[],
   start: (seed: number) => Promise<EmulatedCell> = startCell,
 ): Promise<string[]> {
-  const cell = await start(seed);
-  const actions: { atMs: number; run: () => void }[] = [];
-  for (let number = 1; number <= 24; number += 1) {
-    const isGang = number % 3 === 0;
-    const job = makeJob(
-      number,
-      [
-        {
-          count: 1 + cell.random.integer(0, 4 - 1),
-          estimateMs: 200 + cell.random.integer(0, 3_000 - 1),
-          gang: isGang,
-        },
-        ...(number % 2 === 0 ? [{ count: 2, after: [0], millicores: 3_000 }] : []),
-      ],
-      { advised: number % 4 === 0, payload: number % 5 === 0 ? 'flaky' : 'plain' },
-    );
-    const at = `p${number % cell.processes.length}`;
-    actions.push({ atMs: number * 450, run: () => void cell.submit(job, at) });
-  }
-  const heals: { atMs: number; run: () => void }[] = [];
-  for (const entry of faults)
-    actions.push({
-      atMs: entry.atMs,
-      run: () => {
-        heals.push({ atMs: cell.clock.monotonicMs() + entry.forMs, run: strike(cell, entry) });
-      },
-    });
-  const startMs = cell.clock.monotonicMs();
-  actions.sort((left, right) => left.atMs - right.atMs);
-  while (actions.length > 0 || heals.length > 0) {
-    const nowMs = cell.clock.monotonicMs();
-    while (actions[0] !== undefined && actions[0].atMs + startMs <= nowMs) actions.shift()?.run();
-    const due = heals.filter((heal) => heal.atMs <= nowMs);
-    for (const heal of due) {
-      heals.splice(heals.indexOf(heal), 1);
-      heal.run();
-    }
-    await cell.run(20);
-    if (cell.clock.monotonicMs() % COUNT_INTERVAL_MS === 0) cell.checkCounts();
-  }
-  await cell.run(SETTLE_MS);
-  const broken = [...cell.violations(), ...cell.unfinished().map((id) => `job ${id} did not end`)];
+  const { cell, broken } = await playSchedule(await start(seed), faults);
   if (broken.length > 0) {
     if (process.env.CELL_LINES !== undefined) console.log(cell.lines.join('\n'));
     console.log(`seed ${seed}: ${broken.join('; ')}`);
--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import type { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { StoreSilence } from '@acaciahoist/cell-log/store-silence';
 import type { AppendRequest } from '@acaciahoist/cell-types/append-request';
 import type { AppendResult } from '@acaciahoist/cell-types/append-result';
@@ -46,15 +47,16 @@
     this.commit({ topic, records: [encodeKeyed({ key, value })] });
   }
 
-  client(caller: string): LogStore {
-    const silence = StoreSilence.create(this.clock);
+  /** Calls of a process, which gets the answers only while its clock runs. */
+  client(caller: string, clock: PausableClock): LogStore {
+    const silence = StoreSilence.create(clock);
     const note = async <Answer>(
       waitMs: number,
       call: Promise<Answer>,
       isAnswer: (answer: Answer) => boolean,
     ): Promise<Answer> => {
       silence.called(waitMs);
-      const answer = await call;
+      const answer = await clock.arrival(call);
       if (isAnswer(answer)) silence.answered();
       else silence.failed();
       return answer;
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -1,18 +1,20 @@
-import Result from 'true-myth/result';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
-import { Failure } from '@acaciahoist/errors';
+import { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import type { CellJob } from '@acaciahoist/cell-types';
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
+import { PaceReply } from '@acaciahoist/cell-types/pace-reply';
 import type { StartReply } from '@acaciahoist/cell-types/start-reply';
+import { StopReply } from '@acaciahoist/cell-types/stop-reply';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { CellProcess } from '@acaciahoist/cell-process';
-import type { PeerCalls } from '@acaciahoist/cell-process/peer-calls';
 import { EmulatedGangs } from './emulated-gangs.js';
+import { EmulatedPeers } from './emulated-peers.js';
 import { EmulatedStore } from './emulated-store.js';
 import { EmulatedWorker } from './emulated-worker.js';
 import { findViolations } from './find-violations.js';
@@ -27,6 +29,10 @@
 const ALLOWED_SHARE = 0.7;
 /** Age in ms that a count of waiting jobs may have. */
 const COUNT_AGE_MS = 2_000;
+/** Number of data centres over which processes and workers are spread. */
+const DATA_CENTRES = 3;
+/** Time in ms after which a call to a worker out of reach fails. */
+const UNREACHABLE_MS = 800;
 /** Longest span of time in ms that passes without the code running in between. */
 const STEP_MS = 2;
 
@@ -42,6 +48,23 @@
   replicas?: { smallCell: number; standbys: number };
 }
 
+/** One process; `clock` belongs to its newest life. */
+interface Member {
+  name: string;
+  process: CellProcess;
+  isUp: boolean;
+  clock: PausableClock;
+}
+
+/** An order that a process gave to a worker, whether it arrived or not. */
+interface Order {
+  atMs: number;
+  process: string;
+  kind: 'start' | 'stop';
+  worker: string;
+  token: number;
+}
+
 /** A whole cell on a manual clock: processes, store, workers and advice, with faults from a test. */
 export class EmulatedCell {
   static create(options: Options): EmulatedCell {
@@ -60,9 +83,11 @@
   readonly refused = new Set<string>();
   readonly cancelledMs = new Map<string, number>();
   readonly workers = new Map<string, EmulatedWorker>();
-  readonly processes: { name: string; process: CellProcess; isUp: boolean }[] = [];
+  readonly processes: Member[] = [];
+  readonly orders: Order[] = [];
   /** True while calls between this process and this worker are cut off. */
   isCut: (process: string, worker: string) => boolean = () => false;
+  readonly peers: EmulatedPeers;
   private readonly gangs: EmulatedGangs;
   /** Time at which a client was told that its job is accepted, by job. */
   private readonly acceptedMs = new Map<string, number>();
@@ -76,6 +101,7 @@
     this.random = Random.create(options.seed);
     this.store = EmulatedStore.create(this.clock);
     this.gangs = EmulatedGangs.create(this.clock);
+    this.peers = EmulatedPeers.create(this.clock, (name) => this.member(name));
     const configuration = { version: 1, queues: [], guarded: {}, maxBodyBytes: 100_000 };
     this.store.put('keyed.op', 'config', Buffer.from(JSON.stringify(configuration)));
   }
@@ -90,9 +116,7 @@
     const endMs = this.clock.monotonicMs() + ms;
     while (this.clock.monotonicMs() < endMs) {
       this.clock.advance(Math.min(STEP_MS, endMs - this.clock.monotonicMs()));
-      await new Promise((resolve) => {
-        setImmediate(resolve);
-      });
+      await nextTurn();
     }
   }
 
@@ -129,12 +153,18 @@
     this.store.put('keyed.servers', entry.id, Buffer.from(JSON.stringify(entry)));
   }
 
+  /** Removes the entry of a worker, as the platform does after silence. */
+  unpublish(id: string): void {
+    this.store.put('keyed.servers', id, undefined);
+  }
+
   /** Starts a process, or starts it anew after `kill`. */
   async boot(name: string): Promise<void> {
     this.lives += 1;
     const life = `${name}#${this.lives}`;
+    const clock = PausableClock.create(this.clock);
     const process = CellProcess.create({
-      clock: this.clock,
+      clock,
       log: (level, event, fields = {}) => {
         this.lines.push(
           `${this.clock.monotonicMs()} ${life} ${level} ${event} ${JSON.stringify(fields)}`,
@@ -142,11 +172,11 @@
       },
       count: () => undefined,
       observeLoopDelay: () => undefined,
-      store: this.storeClient(name),
+      store: this.storeClient(name, clock),
       name,
       incarnation: String(this.lives),
       peerAddress: name,
-      peers: this.peerCalls(name),
+      peers: this.peers.client(name, clock),
       topics: {
         cell: 'cell',
         snapshots: 'keyed.cell',
@@ -159,32 +189,65 @@
       ownerSilenceMs: 1_000,
       claimJitterMs: this.random.integer(0, 300 - 1),
       cores: this.options.cores?.[name] ?? 1,
-      dataCentre: `d${Number(name.slice(1)) % 3}`,
+      dataCentre: this.dataCentreOf(name),
       replicas: this.options.replicas ?? { smallCell: 12, standbys: 4 },
       decodeConfiguration: (data) =>
         JSON.parse(Buffer.from(data).toString()) as ReturnType<
           Parameters<typeof CellProcess.create>[0]['decodeConfiguration']
         >,
       decodeWorkerEntry: (_id, data) => JSON.parse(Buffer.from(data).toString()) as WorkerEntry,
-      connect: (entry) => this.connect(name, life, entry),
-      advise: this.advise,
+      connect: (entry) => this.connect(name, life, clock, entry),
+      advise: (step, workers) => this.advise(clock, step, workers),
     });
-    const known = this.processes.find((candidate) => candidate.name === name);
-    if (known !== undefined) Object.assign(known, { process, isUp: true });
-    else this.processes.push({ name, process, isUp: true });
+    const known = this.member(name);
+    if (known !== undefined) Object.assign(known, { process, isUp: true, clock });
+    else this.processes.push({ name, process, isUp: true, clock });
     await process.start();
   }
 
   /** The process dies: nothing of it goes on. */
   kill(name: string): void {
-    const found = this.processes.find((candidate) => candidate.name === name);
+    const found = this.member(name);
     if (found?.isUp !== true) return;
     found.isUp = false;
     found.process.abort();
   }
 
+  /** The process stands still until `resume`, its steady clock goes on. */
+  pause(name: string): void {
+    this.member(name)?.clock.pause();
+  }
+
+  /** The machine of the process is suspended until `resume`: its steady clock stands still too. */
+  suspend(name: string): void {
+    this.member(name)?.clock.suspend();
+  }
+
+  /** A process that stood still goes on: its overdue timers run, and it gets the answers that arrived. */
+  async resume(name: string): Promise<void> {
+    const found = this.member(name);
+    if (found?.clock.isStopped !== true) return;
+    const { timers, arrivals } = found.clock.resume();
+    const held = this.random.next() < 0.5 ? [...timers, ...arrivals] : [...arrivals, ...timers];
+    for (const run of held) {
+      run();
+      await nextTurn();
+    }
+  }
+
+  /** The owner; of two, one that runs. */
   ownerName(): string | undefined {
-    return this.processes.find(({ process, isUp }) => isUp && process.isOwner())?.name;
+    const owners = this.processes.filter(({ process, isUp }) => isUp && process.isOwner());
+    return (owners.find(({ clock }) => !clock.isStopped) ?? owners[0])?.name;
+  }
+
+  /** Data centre of a process or a worker, by its name. */
+  dataCentreOf(name: string): string {
+    return `d${Number(name.slice(1)) % DATA_CENTRES}`;
+  }
+
+  private member(name: string): Member | undefined {
+    return this.processes.find((candidate) => candidate.name === name);
   }
 
   /** Hands a job in at a process; remembers the answer. */
@@ -192,7 +255,9 @@
     this.jobs.set(job.id, job);
     const target = this.processes.find((candidate) => candidate.name === at && candidate.isUp);
     if (target === undefined) return 'unknown';
-    const result = await target.process.front.submit(job, 2_500);
+    const { clock, process } = target;
+    await clock.arrival(Promise.resolve());
+    const result = await process.front.submit(job, 2_500);
     if (result.isOk) {
       this.accepted.add(job.id);
       if (!this.acceptedMs.has(job.id)) this.acceptedMs.set(job.id, this.clock.monotonicMs());
@@ -210,6 +275,7 @@
   async cancel(id: string, at: string): Promise<boolean> {
     this.askedToCancel.add(id);
     const target = this.processes.find((candidate) => candidate.name === at && candidate.isUp);
+    await target?.clock.arrival(Promise.resolve());
     const result = await target?.process.front.cancel(id, 2_500);
     if (result?.isOk !== true) return false;
     this.cancelledMs.set(id, this.clock.monotonicMs());
@@ -226,8 +292,8 @@
       ([id, acceptedMs]) =>
         acceptedMs <= nowMs - COUNT_AGE_MS && !started.has(id) && !this.askedToCancel.has(id),
     ).length;
-    for (const { name, process, isUp } of this.processes) {
-      const told = isUp ? process.front.pendingOf(queue) : undefined;
+    for (const { name, process, isUp, clock } of this.processes) {
+      const told = isUp && !clock.isStopped ? process.front.pendingOf(queue) : undefined;
       if (told === undefined || told >= waiting || this.lowCounts.has(name)) continue;
       this.lowCounts.set(name, `${name} tells ${told} of ${waiting} waiting jobs at ${nowMs} ms`);
     }
@@ -275,6 +341,7 @@
   private connect(
     name: string,
     life: string,
+    clock: PausableClock,
     entry: WorkerEntry,
   ): ReturnType<EmulatedWorker['client']> {
     const client = (): ReturnType<EmulatedWorker['client']> | undefined => {
@@ -282,93 +349,90 @@
       const isSame = worker?.entry.born === entry.born;
       return isSame && !this.isCut(name, entry.id) ? worker.client(life) : undefined;
     };
-    const none = <Reply>(reply: Reply): Promise<Reply> =>
-      new Promise((resolve) => {
-        this.clock.after(800, () => {
-          resolve(reply);
-        });
-      });
+    const call = async <Reply>(
+      send: (worker: ReturnType<EmulatedWorker['client']>) => Promise<Reply>,
+      unanswered: Reply,
+    ): Promise<Reply> => {
+      await this.spend(name, clock);
+      const worker = client();
+      const reply = worker && (await clock.arrival(send(worker)));
+      // An answer is lost as well when the connection is cut before it arrives.
+      if (reply !== undefined && !this.isCut(name, entry.id)) return reply;
+      await new Promise<void>((resolve) => clock.after(UNREACHABLE_MS, resolve));
+      return unanswered;
+    };
+    const note = (kind: Order['kind'], token: number): void => {
+      const atMs = this.clock.monotonicMs();
+      this.orders.push({ atMs, process: name, kind, worker: entry.id, token });
+    };
     return {
       start: async (order, timeoutMs) => {
-        const sentMs = this.clock.monotonicMs();
-        await this.spend(name);
-        const reply = await (client()?.start(order, timeoutMs) ??
-          none<StartReply>({ kind: 'unknown', reason: 'cut off' }));
+        note('start', order.token);
+        const sentMs = clock.monotonicMs();
+        const reply = await call<StartReply>((worker) => worker.start(order, timeoutMs), {
+          kind: 'unknown',
+          reason: 'cut off',
+        });
         // The worker has carried it out, but nobody waits for the answer any more.
-        return this.clock.monotonicMs() - sentMs > timeoutMs
+        return clock.monotonicMs() - sentMs > timeoutMs
           ? { kind: 'unknown', reason: 'time limit' }
           : reply;
       },
-      stop: async (task, run, token, timeoutMs) => {
-        await this.spend(name);
-        return client()?.stop(task, run, token, timeoutMs) ?? none('failed' as const);
+      stop: (task, run, token, timeoutMs) => {
+        note('stop', token);
+        return call<StopReply>(
+          (worker) => worker.stop(task, run, token, timeoutMs),
+          StopReply.failed,
+        );
       },
       pace: (task, run, percent, token, timeoutMs) =>
-        client()?.pace(task, run, percent, token, timeoutMs) ?? none('failed' as const),
-      hold: async (call) => {
-        await this.spend(name);
-        return client()?.hold(call) ?? none({ kind: 'failed', reason: 'cut off' });
-      },
+        call<PaceReply>(
+          (worker) => worker.pace(task, run, percent, token, timeoutMs),
+          PaceReply.failed,
+        ),
+      hold: (order) =>
+        call<HoldReply>((worker) => worker.hold(order), { kind: 'failed', reason: 'cut off' }),
       close: () => undefined,
     };
   }
 
-  private storeClient(name: string): LogStore {
-    const client = this.store.client(name);
+  private storeClient(name: string, clock: PausableClock): LogStore {
+    const client = this.store.client(name, clock);
     return {
       ...client,
       append: async (request) => {
-        await this.spend(name);
+        await this.spend(name, clock);
         return client.append(request);
       },
     };
   }
 
   /** Waits until the processor of a process has done the calls before this one, and this one. */
-  private async spend(name: string): Promise<void> {
+  private async spend(name: string, clock: PausableClock): Promise<void> {
     const costMs = this.options.callCostMs?.[name] ?? 0;
     if (costMs === 0) return;
     const nowMs = this.clock.monotonicMs();
     const doneMs = Math.max(nowMs, this.busyUntilMs.get(name) ?? 0) + costMs;
     this.busyUntilMs.set(name, doneMs);
-    await new Promise<void>((resolve) => this.clock.after(doneMs - nowMs, resolve));
+    await new Promise<void>((resolve) => clock.after(doneMs - nowMs, resolve));
   }
 
-  private readonly advise: AdviceClient = async (step, workers) => {
-    await new Promise<void>((resolve) => this.clock.after(ADVICE_MS, resolve));
+  private async advise(
+    clock: PausableClock,
+    step: string,
+    workers: readonly string[],
+  ): ReturnType<AdviceClient> {
+    await new Promise<void>((resolve) => clock.after(ADVICE_MS, resolve));
     const allowed = workers.filter(
       (worker) => Random.create(hash(`${step}/${worker}`)).next() < ALLOWED_SHARE,
     );
     return { kind: 'allowed', tickets: allowed.map((worker) => [worker, 'ticket'] as const) };
-  };
-
-  private peerCalls(name: string): PeerCalls {
-    let handler: Parameters<PeerCalls['start']>[0] | undefined;
-    this.peerHandlers.set(name, (type, body) =>
-      handler === undefined
-        ? Promise.resolve(Result.err(Failure.create(ErrorKind.ownerUnreachable, 'not started')))
-        : handler(type, body),
-    );
-    return {
-      start: (handle) => {
-        handler = handle;
-        return Promise.resolve();
-      },
-      call: (async (address: string, type: string, body: unknown) => {
-        const target = this.peerHandlers.get(address);
-        const isUp = this.processes.some(
-          (candidate) => candidate.name === address && candidate.isUp,
-        );
-        return target !== undefined && isUp
-          ? target(type, body)
-          : Result.err(Failure.create(ErrorKind.ownerUnreachable, 'down'));
-      }) as PeerCalls['call'],
-      stop: () => undefined,
-      describe: () => [],
-    };
   }
+}
 
-  private readonly peerHandlers = new Map<string, Parameters<PeerCalls['start']>[0]>();
+/** Lets everything run that is due now. */
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
 }
 
 function hash(text: string): number {
--- /dev/null
+++ b/packages/cell-emulator/src/schedule-fault.ts
@@ -0,0 +1,9 @@
+import type { faultKinds } from './fault-kinds.js';
+
+/** One fault of a random schedule. `pick` chooses what it strikes, where there is a choice. */
+export interface ScheduleFault {
+  atMs: number;
+  forMs: number;
+  kind: (typeof faultKinds)[number];
+  pick: number;
+}
