Send no start that was decided before the owner stood still

Workers see: an owner that was suspended, and replaced meanwhile, sends the starts that it had decided before; after a pause it sends starts again that were not answered. Workers that its successor has not reached yet take them, with a lease when the owner was away for less than 6 s. No run of a task beside another one was seen: the successor adopts or stops what it finds.

Cause: the age of a decision (0.9 s at most) was taken from the steady clock, which does not count a suspension. A start that was not answered is repeated while the worker counts as answering; after a pause, an answer of the worker that arrived meanwhile makes it count so.

Ruled out: leases (the age of the last acknowledged append already counts on both clocks) and appends (the store refuses the former epoch).

Fix: ElapsedTime counts the greater of steady clock and time of day, for decisions and acknowledgements. An order whose answer was awaited for longer than a decision may age is not sent again; a start waits 0.8 s at most. In the emulator, a call to a worker out of reach now fails at the caller's time limit instead of after 800 ms, as the real client's does, so that the new limit does not act on workers that are only cut off.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -600,6 +600,40 @@
   }
 });
 
+// Guards against an owner that stood still, was replaced, and acts on a permission that has run out: starts
+// that it had decided or that were not answered must not leave it again. Its successor cannot reach the
+// workers yet, so that they would take them.
+for (const halt of ['pause', 'suspend'] as const)
+  test(`starts nothing after a ${halt} in which it was replaced`, async () => {
+    for (const seed of [61, 65, 67, 75]) {
+      const cell = await startCell(seed);
+      const owner = cell.ownerName() ?? '';
+      for (const worker of cell.workers.values())
+        worker.faultFor = (_caller, kind) =>
+          kind === 'start' && cell.random.next() < 0.5 ? CallFault.lost : CallFault.none;
+      cell.store.answerMs = 40;
+      for (let number = 1; number <= 10; number += 1) {
+        // Tasks that end bring answers of workers soon after the pause began.
+        void cell.submit(makeJob(number, [{ count: 2, estimateMs: 120 }]), owner);
+        await cell.run(10 + seed - 60);
+      }
+      cell.isCut = (name) => name !== owner;
+      cell[halt](owner);
+      await cell.run(2_500);
+      expect(cell.ownerName()).not.toEqual(owner);
+      const before = cell.orders.length;
+      await cell.resume(owner);
+      await cell.run(2_000);
+      const late = cell.orders.slice(before).filter(({ process }) => process === owner);
+      expect(late.filter(({ kind }) => kind === 'start')).toEqual([]);
+      cell.isCut = () => false;
+      for (const worker of cell.workers.values()) worker.faultFor = () => CallFault.none;
+      await cell.run(10_000);
+      expect(cell.violations()).toEqual([]);
+      expect(cell.unfinished()).toEqual([]);
+    }
+  });
+
 const fault = fc.record<ScheduleFault>({
   atMs: fc.integer({ min: 0, max: 12_000 }),
   forMs: fc.integer({ min: 200, max: 6_000 }),
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -31,8 +31,6 @@
 const COUNT_AGE_MS = 2_000;
 /** Number of data centres over which processes and workers are spread. */
 const DATA_CENTRES = 3;
-/** Time in ms after which a call to a worker out of reach fails. */
-const UNREACHABLE_MS = 800;
 /** Longest span of time in ms that passes without the code running in between. */
 const STEP_MS = 2;
 
@@ -352,13 +350,14 @@
     const call = async <Reply>(
       send: (worker: ReturnType<EmulatedWorker['client']>) => Promise<Reply>,
       unanswered: Reply,
+      limitMs: number,
     ): Promise<Reply> => {
       await this.spend(name, clock);
       const worker = client();
       const reply = worker && (await clock.arrival(send(worker)));
       // An answer is lost as well when the connection is cut before it arrives.
       if (reply !== undefined && !this.isCut(name, entry.id)) return reply;
-      await new Promise<void>((resolve) => clock.after(UNREACHABLE_MS, resolve));
+      await new Promise<void>((resolve) => clock.after(limitMs, resolve));
       return unanswered;
     };
     const note = (kind: Order['kind'], token: number): void => {
@@ -369,10 +368,11 @@
       start: async (order, timeoutMs) => {
         note('start', order.token);
         const sentMs = clock.monotonicMs();
-        const reply = await call<StartReply>((worker) => worker.start(order, timeoutMs), {
-          kind: 'unknown',
-          reason: 'cut off',
-        });
+        const reply = await call<StartReply>(
+          (worker) => worker.start(order, timeoutMs),
+          { kind: 'unknown', reason: 'cut off' },
+          timeoutMs,
+        );
         // The worker has carried it out, but nobody waits for the answer any more.
         return clock.monotonicMs() - sentMs > timeoutMs
           ? { kind: 'unknown', reason: 'time limit' }
@@ -383,15 +383,21 @@
         return call<StopReply>(
           (worker) => worker.stop(task, run, token, timeoutMs),
           StopReply.failed,
+          timeoutMs,
         );
       },
       pace: (task, run, percent, token, timeoutMs) =>
         call<PaceReply>(
           (worker) => worker.pace(task, run, percent, token, timeoutMs),
           PaceReply.failed,
+          timeoutMs,
         ),
       hold: (order) =>
-        call<HoldReply>((worker) => worker.hold(order), { kind: 'failed', reason: 'cut off' }),
+        call<HoldReply>(
+          (worker) => worker.hold(order),
+          { kind: 'failed', reason: 'cut off' },
+          order.waitMs + order.timeoutMs,
+        ),
       close: () => undefined,
     };
   }
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -1,3 +1,4 @@
+import { ElapsedTime } from '@acaciahoist/clock/elapsed-time';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import { planCell } from '@acaciahoist/cell-planner';
 import type { PlannedWorker } from '@acaciahoist/cell-planner/planned-worker';
@@ -67,7 +68,7 @@
   private planRound(nowMs: number): void {
     const { clock, proposals, window } = this.context;
     // Decisions made while the log does not take them would be stale when it does.
-    if (proposals.oldestMs(nowMs) > limits.staleProposalMs) return;
+    if (proposals.oldestMs() > limits.staleProposalMs) return;
     const steps = this.board.list({ wallMs: clock.wallMs(), monotonicMs: nowMs });
     if (steps.length === 0) return;
     const plan = planCell(steps, this.listWorkers(nowMs), nowMs, {
@@ -119,6 +120,7 @@
     nowMs: number,
   ): void {
     if (starts.length === 0) return;
+    const decided = ElapsedTime.create(this.context.clock);
     const records: CellRecord[] = [];
     const perStep = new Map<string, string[]>();
     for (const { key, index, worker } of starts) {
@@ -129,7 +131,7 @@
       const highest = found.step.tasks.reduce((most, member) => Math.max(most, member.run), 0);
       const run = (step.step.gang ? highest : found.task.run) + 1;
       const size = sizeOf(step.step);
-      this.context.proposals.addStart(task, { worker, run, size, decidedMs: nowMs });
+      this.context.proposals.addStart(task, { worker, run, size, decided });
       this.board.touch(found.progress.job.id);
       records.push({ kind: 'start', task, run, worker });
       perStep.set(key, [...(perStep.get(key) ?? []), worker]);
--- a/packages/cell-owner/src/proposals.ts
+++ b/packages/cell-owner/src/proposals.ts
@@ -1,3 +1,4 @@
+import type { ElapsedTime } from '@acaciahoist/clock/elapsed-time';
 import type { Room } from '@acaciahoist/cell-planner/room';
 import { UsedRoom } from './used-room.js';
 
@@ -6,7 +7,8 @@
   worker: string;
   run: number;
   size: Room;
-  decidedMs: number;
+  /** Time since the decision. */
+  decided: ElapsedTime;
 }
 
 /** Decisions that are on their way into the log and have not come back from it. */
@@ -43,10 +45,10 @@
   }
 
   /** Age in ms of the oldest start that has not come back. */
-  oldestMs(nowMs: number): number {
+  oldestMs(): number {
     // Insertion order is the order of decisions.
     const oldest = this.starts.values().next().value;
-    return oldest === undefined ? 0 : nowMs - oldest.decidedMs;
+    return oldest?.decided.ms() ?? 0;
   }
 
   /** False when the end of this run is on its way already. */
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -1,3 +1,4 @@
+import { ElapsedTime } from '@acaciahoist/clock/elapsed-time';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import type { StartReply } from '@acaciahoist/cell-types/start-reply';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
@@ -48,7 +49,7 @@
     };
     this.context.runs.add(view);
     const link = this.context.links.get(record.worker);
-    const refusal = this.findRefusal(view, link, proposal?.decidedMs);
+    const refusal = this.findRefusal(view, link, proposal?.decided);
     if (refusal !== undefined || link === undefined) {
       this.context.proposeEnd(view, RunEnd.lost, refusal ?? 'worker-gone');
       return;
@@ -60,11 +61,11 @@
   private findRefusal(
     view: RunView,
     link: WorkerLink | undefined,
-    decidedMs: number | undefined,
+    decided: ElapsedTime | undefined,
   ): string | undefined {
     if (link?.isStartable() !== true) return 'worker-not-startable';
-    if (decidedMs === undefined) return 'decision-of-a-former-owner';
-    if (view.sinceMs - decidedMs > limits.maxDecisionAgeMs) return 'decision-too-old';
+    if (decided === undefined) return 'decision-of-a-former-owner';
+    if (decided.ms() > limits.maxDecisionAgeMs) return 'decision-too-old';
     const found = this.context.state.taskOf(view.task);
     if (found?.progress.job.queue.advice === undefined) return undefined;
     const step = view.task.slice(0, view.task.lastIndexOf('.'));
@@ -74,10 +75,13 @@
   private async sendStart(link: WorkerLink, view: RunView, payload: string): Promise<void> {
     const { clock } = this.context;
     const step = view.task.slice(0, view.task.lastIndexOf('.'));
+    let sent = ElapsedTime.create(clock);
     let reply = await this.sendOnce(link, view, payload, step);
     // The same order again is harmless: the worker knows the run by its number.
     for (let repeats = 0; reply.kind === 'unknown' && repeats < limits.startRepeats; repeats += 1) {
-      if (!this.mayRepeat(link, view)) break;
+      // A process that stood still while it waited may have been replaced meanwhile.
+      if (sent.ms() > limits.maxDecisionAgeMs || !this.mayRepeat(link, view)) break;
+      sent = ElapsedTime.create(clock);
       this.context.count('starts_repeated_total');
       const repeated = await this.sendOnce(link, view, payload, step);
       // Of a first order that was carried out, a refusal of the second one says nothing.
--- a/packages/cell-process/src/owner-log.ts
+++ b/packages/cell-process/src/owner-log.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import { ElapsedTime } from '@acaciahoist/clock/elapsed-time';
 import { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
 import { Appender } from '@acaciahoist/cell-log/appender';
 import { CellOwnership } from '@acaciahoist/cell-log/cell-ownership';
@@ -38,13 +39,12 @@
   private isStopped = false;
   private isRenewing = false;
   private isWritingSnapshot = false;
-  private acknowledgedMs: number;
-  private acknowledgedWallMs: number;
+  /** Time since the newest append that was acknowledged was sent. */
+  private acknowledged: ElapsedTime;
 
   private constructor(private readonly options: Options) {
     const { clock, store, log, topics, token, onFenced } = options;
-    this.acknowledgedMs = clock.monotonicMs();
-    this.acknowledgedWallMs = clock.wallMs();
+    this.acknowledged = ElapsedTime.create(clock);
     const common = { clock, store, log, epoch: token, insists: true, onFenced };
     const producer = CellOwnership.producer;
     // The claim itself was the append with sequence number 0.
@@ -88,25 +88,16 @@
     this.hintRecords.close();
   }
 
-  /**
-   * Age in ms of the newest append that was acknowledged, counted from before it was sent. The steady
-   * clock does not count the time for which a machine is suspended, the time of day does.
-   */
+  /** Age in ms of the newest append that was acknowledged, counted from before it was sent. */
   silentMs(): number {
-    const { clock } = this.options;
-    return Math.max(
-      clock.monotonicMs() - this.acknowledgedMs,
-      clock.wallMs() - this.acknowledgedWallMs,
-    );
+    return this.acknowledged.ms();
   }
 
   async append(records: CellRecord[]): Promise<void> {
-    const sentMs = this.options.clock.monotonicMs();
-    const sentWallMs = this.options.clock.wallMs();
+    const sent = ElapsedTime.create(this.options.clock);
     const outcome = await this.records.append(records.map((record) => recordCodec.encode(record)));
-    if (outcome !== AppendOutcome.appended || sentMs < this.acknowledgedMs) return;
-    this.acknowledgedMs = sentMs;
-    this.acknowledgedWallMs = sentWallMs;
+    if (outcome !== AppendOutcome.appended || sent.startedMs < this.acknowledged.startedMs) return;
+    this.acknowledged = sent;
   }
 
   /** Appends a record for a client. Undefined when the store does not answer, so that it would wait. */
