--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@acaciahoist/clock';
 import { Instant } from '@acaciahoist/clock/instant';
 import { readAge } from '@acaciahoist/cell-log/read-age';
+import type { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { StoreSilence } from '@acaciahoist/cell-log/store-silence';
 import type { AppendRequest } from '@acaciahoist/cell-types/append-request';
 import type { AppendResult } from '@acaciahoist/cell-types/append-result';
@@ -48,15 +49,16 @@
     this.commit({ topic, records: [encodeKeyed({ key, value })] });
   }
 
-  client(caller: string): LogStore {
-    const silence = StoreSilence.create(this.clock);
+  /** Calls of a process, which gets the answers only while its clock runs. */
+  client(caller: string, clock: PausableClock): LogStore {
+    const silence = StoreSilence.create(clock);
     const note = async <Answer>(
       waitMs: number,
       call: Promise<Answer>,
       isAnswer: (answer: Answer) => boolean,
     ): Promise<Answer> => {
       silence.called(waitMs);
-      const answer = await call;
+      const answer = await clock.arrival(call);
       if (isAnswer(answer)) silence.answered();
       else silence.failed();
       return answer;
@@ -69,7 +71,7 @@
           ({ kind }) => kind !== 'unknown' && kind !== 'refused',
         ),
       read: async (topic, from, waitMs) => {
-        const asked = Instant.create(this.clock);
+        const asked = Instant.create(clock);
         const call = this.read(caller, topic, from, waitMs);
         const result = await note(waitMs, call, ({ kind }) => kind !== 'failed');
         if (result.kind !== 'records') return result;
--- a/packages/clock/src/instant.test.ts
+++ b/packages/clock/src/instant.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { Instant } from './instant.js';
 import { ManualClock } from './manual-clock.js';
+import { PausableClock } from './pausable-clock.js';
 
 // Guards against facts that look young after the machine was suspended: the steady clock stood still.
 test('counts the time of a suspension', () => {
@@ -26,3 +27,17 @@
   const clock = ManualClock.create(1_000_000);
   expect(Instant.create(clock, Number.POSITIVE_INFINITY).ageMs()).toEqual(Number.POSITIVE_INFINITY);
 });
+
+// Guards against a permission that outlasts a suspension: the clock of the process is behind by it for good.
+test('counts a suspension after which the steady clock is behind', () => {
+  const base = ManualClock.create(1_000_000);
+  const clock = PausableClock.create(base);
+  const instant = Instant.create(clock);
+  clock.suspend();
+  base.advance(500);
+  clock.resume();
+  expect(instant.ageMs()).toEqual(500);
+  base.advance(100);
+  base.jumpWall(-10_000);
+  expect(instant.ageMs()).toEqual(100);
+});
