Do not take the standbys of a former owner for those of the present one

A process without a replica that had heard the present owner's standbys believed those of the former owner again when a process that had not heard of the take-over answered last. Its clients waited for answers of processes that had given their replicas up, 450 ms each where one is gone, until the next call to the owner.

Standbys are taken from a reply only when it names a claim that is not older than the newest one known. Hints of the store are still taken as they are: they are read only when nobody is heard.

--- a/packages/cell-process/src/cell-contact.test.ts
+++ b/packages/cell-process/src/cell-contact.test.ts
@@ -103,3 +103,16 @@
   await calls[0]?.answer(replyWith({ pending: [['q', 14]], pendingAgeMs: 0 }));
   expect(contact.pendingOf('q')).toEqual({ count: 172, ageMs: 420 });
 });
+
+// Guards against questions to processes that have given their replicas up: a standby that has not heard of
+// the present owner names the standbys of the former one, and was believed after the present owner.
+test('does not take the standbys of a former owner for those of the present one', async () => {
+  const { clock, contact, calls } = create();
+  contact.heardStandbys([['s', 'd']]);
+  void contact.call();
+  clock.advance(200);
+  const present = { ...claim, token: 4 };
+  await calls[0]?.answer(replyWith({ claim: present, standbys: [['new', 'd']] }));
+  await calls[1]?.answer(replyWith({ standbys: [['old', 'd']] }));
+  expect(contact.knownStandbys()).toEqual([['new', 'd']]);
+});
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -182,7 +182,9 @@
   /** The counts were true `pendingAgeMs` before the reply was sent, which is not before the question. */
   private take(reply: Reply, asked: Instant): void {
     this.heardClaim(reply.claim);
-    this.heardStandbys(reply.standbys);
+    // A process that has not heard of the present owner names the standbys of a former one.
+    if ((reply.claim?.token ?? 0) >= (this.newestClaim()?.token ?? 0))
+      this.heardStandbys(reply.standbys);
     if (reply.others.length > 0) this.others = reply.others;
     if (reply.pending === null) return;
     const { clock } = this.options;
