Play jumps of the time of day, and a restart of all processes after a worker has left

Ages of permissions now count on the time of day too, so that random schedules must let it jump at an owner. "goes on while the time of day of the owner jumps" shows that jumps of 9 s in both directions cost no owner, no run and no job.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -635,6 +635,48 @@
     }
   });
 
+// Guards against a server that had left, or a setting that was withdrawn, being in use again after a restart
+// of all processes: the snapshot and the log name both.
+test('uses no worker that has left and no older configuration after a restart', async () => {
+  const cell = await startCell(55);
+  const submitted = cell.submit(makeJob(1, [{ count: 16, estimateMs: 20_000 }]), 'p0');
+  await cell.run(5_000);
+  expect(await submitted).toEqual('accepted');
+  expect(cell.orders.some(({ worker }) => worker === 'w1')).toEqual(true);
+  cell.workers.get('w1')?.crash();
+  cell.unpublish('w1');
+  cell.configure(2);
+  await cell.run(500);
+  for (const { name } of cell.processes) cell.kill(name);
+  cell.store.expireAll(cell.clock.monotonicMs());
+  const before = cell.orders.length;
+  for (const { name } of [...cell.processes]) await cell.boot(name);
+  await cell.run(SETTLE_MS);
+  expect(cell.orders.slice(before).filter(({ worker }) => worker === 'w1')).toEqual([]);
+  expect(cell.processes.map(({ process }) => process.configuration?.version)).toEqual([2, 2, 2]);
+  expect(cell.violations()).toEqual([]);
+  expect(cell.unfinished()).toEqual([]);
+});
+
+// Guards against an owner that is lost, or work that is given up, because the time of day jumps: it counts for
+// the age of permissions.
+test('goes on while the time of day of the owner jumps', async () => {
+  const cell = await startCell(56);
+  const owner = cell.ownerName() ?? '';
+  for (let number = 1; number <= 40; number += 1) {
+    void cell.submit(makeJob(number, [{ count: 2, estimateMs: 1_000 }]), `p${number % 3}`);
+    if (number % 5 === 0) cell.jumpWall(owner, number % 2 === 0 ? 9_000 : -9_000);
+    await cell.run(100);
+  }
+  await cell.run(10_000);
+  expect(cell.ownerName()).toEqual(owner);
+  expect(cell.history.filter(({ kind }) => kind === 'started').length).toEqual(80);
+  expect(cell.history.filter(({ how }) => how !== undefined && how !== 'done')).toEqual([]);
+  expect(cell.accepted.size).toEqual(40);
+  expect(cell.violations()).toEqual([]);
+  expect(cell.unfinished()).toEqual([]);
+});
+
 const fault = fc.record<ScheduleFault>({
   atMs: fc.integer({ min: 0, max: 12_000 }),
   forMs: fc.integer({ min: 200, max: 6_000 }),
--- a/packages/cell-emulator/src/fault-kinds.ts
+++ b/packages/cell-emulator/src/fault-kinds.ts
@@ -24,4 +24,5 @@
   'owner-paused',
   'owner-suspended',
   'process-paused',
+  'time-of-day-jumps',
 ] as const;
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -100,7 +100,12 @@
     this.store = EmulatedStore.create(this.clock);
     this.gangs = EmulatedGangs.create(this.clock);
     this.peers = EmulatedPeers.create(this.clock, (name) => this.member(name));
-    const configuration = { version: 1, queues: [], guarded: {}, maxBodyBytes: 100_000 };
+    this.configure(1);
+  }
+
+  /** Writes a configuration down as the operator does. */
+  configure(version: number): void {
+    const configuration = { version, queues: [], guarded: {}, maxBodyBytes: 100_000 };
     this.store.put('keyed.op', 'config', Buffer.from(JSON.stringify(configuration)));
   }
 
@@ -221,6 +226,11 @@
     this.member(name)?.clock.suspend();
   }
 
+  /** Shifts the time of day of this life of a process. */
+  jumpWall(name: string, byMs: number): void {
+    this.member(name)?.clock.jumpWall(byMs);
+  }
+
   /** A process that stood still goes on: its overdue timers run, and it gets the answers that arrived. */
   async resume(name: string): Promise<void> {
     const found = this.member(name);
--- a/packages/cell-emulator/src/play-schedule.ts
+++ b/packages/cell-emulator/src/play-schedule.ts
@@ -5,6 +5,8 @@
 
 /** Room for the take-over, the longest lease and late orders after the last fault. */
 const SETTLE_MS = 40_000;
+/** Longest standstill in ms. With SETTLE_MS after it, the first jobs are still remembered at the end. */
+const MAX_STANDSTILL_MS = 30_000;
 /** Interval in ms at which the counts of waiting jobs are checked. */
 const COUNT_INTERVAL_MS = 200;
 
@@ -64,5 +66,5 @@
 function durationMs({ kind, forMs, pick }: ScheduleFault): number {
   const standsStill =
     kind === 'owner-paused' || kind === 'owner-suspended' || kind === 'process-paused';
-  return standsStill ? forMs * (1 + pick) : forMs;
+  return standsStill ? Math.min(MAX_STANDSTILL_MS, forMs * (1 + pick)) : forMs;
 }
--- a/packages/cell-emulator/src/strike.ts
+++ b/packages/cell-emulator/src/strike.ts
@@ -10,7 +10,7 @@
 const SLOW_WAY_MS = 300;
 
 /** Brings a fault about; the function returned ends it. */
-export function strike(cell: EmulatedCell, { kind, pick }: ScheduleFault): Heal {
+export function strike(cell: EmulatedCell, { kind, pick, forMs }: ScheduleFault): Heal {
   const worker = [...cell.workers.values()][pick % cell.workers.size];
   const owner = cell.ownerName() ?? 'p0';
   const picked = cell.processes[pick % cell.processes.length]?.name ?? 'p0';
@@ -98,6 +98,13 @@
     case 'process-paused':
       cell.pause(picked);
       return () => cell.resume(picked);
+    case 'time-of-day-jumps': {
+      const byMs = pick % 2 === 0 ? forMs : -forMs;
+      cell.jumpWall(owner, byMs);
+      return () => {
+        cell.jumpWall(owner, -byMs);
+      };
+    }
   }
 }
 
--- a/packages/clock/src/pausable-clock.test.ts
+++ b/packages/clock/src/pausable-clock.test.ts
@@ -51,6 +51,16 @@
   expect(runs).toEqual(1);
 });
 
+// Guards against a jump of the time of day of one machine that moves its timers.
+test('a jump of the time of day does not move monotonic time', () => {
+  const base = ManualClock.create(1_000);
+  const clock = PausableClock.create(base);
+  clock.jumpWall(-300);
+  expect(clock.wallMs()).toEqual(700);
+  expect(clock.monotonicMs()).toEqual(0);
+  expect(base.wallMs()).toEqual(1_000);
+});
+
 // Guards against an answer that a paused process acts on.
 test('hands an answer over only while it runs', async () => {
   const clock = PausableClock.create(ManualClock.create());
--- a/packages/clock/src/pausable-clock.ts
+++ b/packages/clock/src/pausable-clock.ts
@@ -20,6 +20,7 @@
 
   /** Time in ms of the suspensions that are over. */
   private lostMs = 0;
+  private jumpedMs = 0;
   private stopped: { sinceMs: number; isSuspended: boolean } | undefined;
   private heldTimers: Timer[] = [];
   private heldArrivals: (() => void)[] = [];
@@ -37,7 +38,12 @@
   }
 
   wallMs(): number {
-    return this.base.wallMs();
+    return this.base.wallMs() + this.jumpedMs;
+  }
+
+  /** Shifts the time of day of this process only. */
+  jumpWall(byMs: number): void {
+    this.jumpedMs += byMs;
   }
 
   after(delayMs: number, run: () => void): () => void {
