Wake waiting calls of the cell emulator by events instead of by polling

Reads that wait at the emulated store and hold calls that wait at an emulated worker looked every 5 ms.

--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -14,7 +14,6 @@
 const LATE_MS = 3_000;
 /** Way of a call to the store in ms. */
 const WAY_MS = 1;
-const POLL_MS = 5;
 
 /** The platform's store with faults that a test sets for each caller. */
 export class EmulatedStore {
@@ -23,6 +22,8 @@
   }
 
   private readonly topics = new Map<string, EmulatedTopic>();
+  /** Reads that wait for records, by topic. */
+  private readonly waiters = new Map<string, Set<() => void>>();
   private readonly keyed = new Map<string, Map<string, Uint8Array>>();
   /** Time of an answer in ms; the calls of a slow store are carried out at once all the same. */
   answerMs = 4;
@@ -116,7 +117,7 @@
         await this.pause(this.answerMs - WAY_MS);
         return result;
       }
-      await this.pause(POLL_MS);
+      await this.nextCommit(topic, endMs - this.clock.monotonicMs());
     }
   }
 
@@ -131,9 +132,25 @@
     return { records, end: this.topic(topic).end };
   }
 
+  /** Waits until records may have been added to the topic, `timeoutMs` at most. */
+  private nextCommit(topic: string, timeoutMs: number): Promise<void> {
+    const waiters = this.waiters.get(topic) ?? new Set();
+    this.waiters.set(topic, waiters);
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        cancel();
+        waiters.delete(wake);
+        resolve();
+      };
+      const cancel = this.clock.after(timeoutMs, wake);
+      waiters.add(wake);
+    });
+  }
+
   private commit(request: AppendRequest): AppendResult {
     const before = this.topic(request.topic).end;
     const result = this.topic(request.topic).append(request, this.clock.monotonicMs());
+    for (const wake of [...(this.waiters.get(request.topic) ?? [])]) wake();
     const isNew = result.kind === 'appended' && result.offset === before;
     if (isNew && request.topic.startsWith('keyed.'))
       for (const data of request.records) this.keep(request.topic, data);
--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -39,7 +39,6 @@
 const ANSWER_MS = 3;
 const STOP_MS = 100;
 const LATE_MS = 4_000;
-const POLL_MS = 5;
 /** Tail in ms of a serving task by itself, and what a filler at full share adds. */
 const BASE_TAIL_MS = 40;
 const HARM_MS = 100;
@@ -59,6 +58,8 @@
   private leaseUntilMs = 0;
   private readonly runs = new Map<string, Run>();
   private ended: EndedRun[] = [];
+  /** Hold calls that wait for an end. */
+  private readonly waiters = new Set<() => void>();
   private endCount = 0;
   /** How often the lease has lapsed, in all and at the time of each end. */
   private lapses = 0;
@@ -77,6 +78,7 @@
   /** The process dies: all that runs is gone without a report. */
   crash(): void {
     this.isUp = false;
+    for (const wake of [...this.waiters]) wake();
     for (const run of [...this.runs.values()]) {
       run.cancel();
       this.runs.delete(run.task);
@@ -150,7 +152,7 @@
     if (reply.kind !== 'held') return reply;
     const endMs = this.options.clock.monotonicMs() + order.waitMs;
     while (this.ended.length === 0 && this.options.clock.monotonicMs() < endMs) {
-      await this.pause(POLL_MS);
+      await this.nextEnd(endMs - this.options.clock.monotonicMs());
       if (!this.isUp) return failed;
     }
     return this.held({ ...order, leaseUntilMs: 0 });
@@ -257,6 +259,7 @@
     this.endCount += 1;
     this.lapsesAtEnd.set(this.endCount, this.lapses);
     this.ended.push({ number: this.endCount, task, run, how, checkpoint: '' });
+    for (const wake of [...this.waiters]) wake();
     this.note('ended', task, run, how);
     this.options.gangs.leave(gangKey(task, run), task);
   }
@@ -285,6 +288,19 @@
     this.options.record({ atMs, kind, task, run, worker: this.entry.id, how });
   }
 
+  /** Waits until a run has ended or the worker has died, `timeoutMs` at most. */
+  private nextEnd(timeoutMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        cancel();
+        this.waiters.delete(wake);
+        resolve();
+      };
+      const cancel = this.options.clock.after(timeoutMs, wake);
+      this.waiters.add(wake);
+    });
+  }
+
   private pause(ms: number): Promise<void> {
     return new Promise((resolve) => this.options.clock.after(ms, resolve));
   }
--- a/packages/cell-emulator/src/index.ts
+++ b/packages/cell-emulator/src/index.ts
@@ -117,9 +117,11 @@
   /** Lets time pass. */
   async run(ms: number): Promise<void> {
     const endMs = this.clock.monotonicMs() + ms;
+    // What the caller has begun.
+    await nextTurn();
     while (this.clock.monotonicMs() < endMs) {
-      this.clock.advance(Math.min(STEP_MS, endMs - this.clock.monotonicMs()));
-      await nextTurn();
+      const fired = this.clock.advance(Math.min(STEP_MS, endMs - this.clock.monotonicMs()));
+      if (fired > 0) await nextTurn();
     }
   }
 
--- a/packages/clock/src/manual-clock.ts
+++ b/packages/clock/src/manual-clock.ts
@@ -34,17 +34,20 @@
     };
   }
 
-  /** Moves time forward and runs every timer that falls due, in order of time and creation. */
-  advance(byMs: number): void {
+  /** Moves time forward and runs every timer that falls due, in order of time and creation; returns how many. */
+  advance(byMs: number): number {
     const endMs = this.elapsedMs + byMs;
+    let count = 0;
     for (;;) {
       const next = this.earliest();
       if (next === undefined || next.dueMs > endMs) break;
       this.timers = this.timers.filter((candidate) => candidate !== next);
       this.elapsedMs = next.dueMs;
       next.run();
+      count += 1;
     }
     this.elapsedMs = endMs;
+    return count;
   }
 
   /** Shifts the wall clock without moving monotonic time. */
