--- a/packages/cell-emulator/src/emulated-store.ts
+++ b/packages/cell-emulator/src/emulated-store.ts
@@ -1,4 +1,7 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
+import { readAge } from '@acaciahoist/cell-log/read-age';
+import type { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { StoreSilence } from '@acaciahoist/cell-log/store-silence';
 import type { AppendRequest } from '@acaciahoist/cell-types/append-request';
 import type { AppendResult } from '@acaciahoist/cell-types/append-result';
@@ -13,7 +16,6 @@
 const LATE_MS = 3_000;
 /** Way of a call to the store in ms. */
 const WAY_MS = 1;
-const POLL_MS = 5;
 
 /** The platform's store with faults that a test sets for each caller. */
 export class EmulatedStore {
@@ -22,6 +24,8 @@
   }
 
   private readonly topics = new Map<string, EmulatedTopic>();
+  /** Reads that wait for records, by topic. */
+  private readonly waiters = new Map<string, Set<() => void>>();
   private readonly keyed = new Map<string, Map<string, Uint8Array>>();
   /** Time of an answer in ms; the calls of a slow store are carried out at once all the same. */
   answerMs = 4;
@@ -46,15 +50,16 @@
     this.commit({ topic, records: [encodeKeyed({ key, value })] });
   }
 
-  client(caller: string): LogStore {
-    const silence = StoreSilence.create(this.clock);
+  /** Calls of a process, which gets the answers only while its clock runs. */
+  client(caller: string, clock: PausableClock): LogStore {
+    const silence = StoreSilence.create(clock);
     const note = async <Answer>(
       waitMs: number,
       call: Promise<Answer>,
       isAnswer: (answer: Answer) => boolean,
     ): Promise<Answer> => {
       silence.called(waitMs);
-      const answer = await call;
+      const answer = await clock.arrival(call);
       if (isAnswer(answer)) silence.answered();
       else silence.failed();
       return answer;
@@ -66,8 +71,13 @@
           this.append(caller, request),
           ({ kind }) => kind !== 'unknown' && kind !== 'refused',
         ),
-      read: (topic, from, waitMs) =>
-        note(waitMs, this.read(caller, topic, from, waitMs), ({ kind }) => kind !== 'failed'),
+      read: async (topic, from, waitMs) => {
+        const asked = Instant.create(clock);
+        const call = this.read(caller, topic, from, waitMs);
+        const result = await note(waitMs, call, ({ kind }) => kind !== 'failed');
+        if (result.kind !== 'records') return result;
+        return { ...result, ageMs: readAge(asked, waitMs, result.records.length) };
+      },
       newest: (topic) => note(0, this.newest(caller, topic), (page) => page !== undefined),
       encodeKeyed,
       decodeKeyed,
@@ -114,7 +124,7 @@
         await this.pause(this.answerMs - WAY_MS);
         return result;
       }
-      await this.pause(POLL_MS);
+      await this.nextCommit(topic, endMs - this.clock.monotonicMs());
     }
   }
 
@@ -129,9 +139,25 @@
     return { records, end: this.topic(topic).end };
   }
 
+  /** Waits until records may have been added to the topic, `timeoutMs` at most. */
+  private nextCommit(topic: string, timeoutMs: number): Promise<void> {
+    const waiters = this.waiters.get(topic) ?? new Set();
+    this.waiters.set(topic, waiters);
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        cancel();
+        waiters.delete(wake);
+        resolve();
+      };
+      const cancel = this.clock.after(timeoutMs, wake);
+      waiters.add(wake);
+    });
+  }
+
   private commit(request: AppendRequest): AppendResult {
     const before = this.topic(request.topic).end;
     const result = this.topic(request.topic).append(request, this.clock.monotonicMs());
+    for (const wake of [...(this.waiters.get(request.topic) ?? [])]) wake();
     const isNew = result.kind === 'appended' && result.offset === before;
     if (isNew && request.topic.startsWith('keyed.'))
       for (const data of request.records) this.keep(request.topic, data);
--- a/packages/cell-process/src/cell-contact.ts
+++ b/packages/cell-process/src/cell-contact.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { HeardCount } from '@acaciahoist/cell-front/heard-count';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import type { PeerCalls } from './peer-calls.js';
+import { toldAge } from './told-age.js';
 
 type Offer = PeerCallMap['offer-help']['request'];
 type Reply = PeerCallMap['offer-help']['reply'];
@@ -32,8 +34,6 @@
 const ASK_MS = 250;
 /** Processes that are asked at a time. */
 const ASKED = 2;
-/** Counts of waiting jobs older than this in ms are not handed on; clients may be told what is 2 s old. */
-const PENDING_AGE_MS = 1_500;
 
 /**
  * What a process knows of the others: who owns the cell, who holds a replica, and what they last said.
@@ -50,13 +50,14 @@
   private others: readonly string[] = [];
   private asked = 0;
   private contactMs: number;
-  private pendingMs = Number.NEGATIVE_INFINITY;
+  private pendingAsOf: Instant;
   private pending = new Map<string, number>();
   private isCalling = false;
   private delayMs = 0;
 
   private constructor(private readonly options: Options) {
     this.contactMs = options.clock.monotonicMs();
+    this.pendingAsOf = Instant.create(options.clock, Number.POSITIVE_INFINITY);
   }
 
   /** Another process named the claim that it knows. */
@@ -106,10 +107,10 @@
     return this.delayMs;
   }
 
-  /** Jobs of a queue that wait for their first start; undefined when that was not heard lately. */
+  /** Jobs of a queue that wait for their first start; undefined when nobody told with an age. */
   pendingOf(queue: string): HeardCount | undefined {
-    const ageMs = this.options.clock.monotonicMs() - this.pendingMs;
-    if (ageMs > PENDING_AGE_MS) return undefined;
+    const ageMs = this.pendingAsOf.ageMs();
+    if (ageMs === Number.POSITIVE_INFINITY) return undefined;
     return { count: this.pending.get(queue) ?? 0, ageMs };
   }
 
@@ -139,7 +140,7 @@
     if (!isHeard && !isAsked) await this.search();
   }
 
-  /** Asks some of the known processes, in turn, who owns the cell. */
+  /** Asks some of the known processes, in turn, who owns the cell and for their counts. */
   async search(): Promise<void> {
     const known = this.replicaAddresses();
     const count = Math.min(ASKED, known.length);
@@ -152,8 +153,9 @@
       chosen.map(async (address) => {
         // No cores: a process that cannot reach the owner must not attract the cell.
         const offer = this.offer(0);
+        const asked = Instant.create(this.options.clock);
         const reply = await this.options.peers.call(address, 'offer-help', offer, ASK_MS);
-        if (reply.isOk) this.take(reply.value);
+        if (reply.isOk) this.take(reply.value, asked);
       }),
     );
   }
@@ -168,22 +170,29 @@
       return true;
     }
     const offer = this.offer(offeredCores());
+    const asked = Instant.create(this.options.clock);
     const reply = await peers.call(claim.address, 'offer-help', offer, OWNER_CALL_MS);
     if (reply.isErr) return false;
-    this.take(reply.value);
+    this.take(reply.value, asked);
     this.delayMs = Math.min(MAX_OWNER_DELAY_MS, reply.value.loopDelayMs);
     onOwnerReply(claim, reply.value);
     return true;
   }
 
-  private take(reply: Reply): void {
+  /** The counts were true `pendingAgeMs` before the reply was sent, which is not before the question. */
+  private take(reply: Reply, asked: Instant): void {
     this.heardClaim(reply.claim);
-    this.heardStandbys(reply.standbys);
+    // A process that has not heard of the present owner names the standbys of a former one.
+    if ((reply.claim?.token ?? 0) >= (this.newestClaim()?.token ?? 0))
+      this.heardStandbys(reply.standbys);
     if (reply.others.length > 0) this.others = reply.others;
     if (reply.pending === null) return;
-    const nowMs = this.options.clock.monotonicMs();
-    this.contactMs = nowMs;
-    this.pendingMs = nowMs;
+    const { clock } = this.options;
+    this.contactMs = clock.monotonicMs();
+    const asOf = Instant.create(clock, toldAge.read(reply.pendingAgeMs) + asked.ageMs());
+    // Replies to several questions may overtake each other.
+    if (asOf.ageMs() > this.pendingAsOf.ageMs()) return;
+    this.pendingAsOf = asOf;
     this.pending = new Map(reply.pending);
   }
 
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -2,7 +2,7 @@
 import type { Shape } from './shape.js';
 import { shapes } from './shapes.js';
 
-const { string, number, boolean, bytes, any, nullable, list, object } = shapes;
+const { string, number, boolean, bytes, any, nullable, optional, list, object } = shapes;
 
 /** Most processes, queues and records that a reply lists. */
 const MAX_STANDBYS = 64;
@@ -25,10 +25,16 @@
     others: list(string, MAX_PROCESSES),
     isStandby: nullable(boolean),
     pending: nullable(list(list(any, 2), MAX_QUEUES)),
+    pendingAgeMs: optional(nullable(number)),
   }),
   'owner-changed': object({}),
   advise: object({ advice: any }),
   'relay-record': object({ outcome: string }),
   'relay-outcome': object({ outcome: string, isAbsent: boolean }),
-  'read-log': object({ end: number, records: list(bytes, MAX_RECORDS) }),
+  'read-log': object({
+    end: number,
+    records: list(bytes, MAX_RECORDS),
+    ageMs: optional(nullable(number)),
+    heldMs: optional(number),
+  }),
 };
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -71,6 +71,11 @@
       isStandby: boolean | null;
       /** Jobs that wait for their first start, by queue; null from a process whose replica is not current. */
       pending: readonly (readonly [string, number])[] | null;
+      /**
+       * Upper bound of the age of these counts when the reply was sent; null for unknown, missing from a
+       * process of the previous version.
+       */
+      pendingAgeMs?: number | null;
     };
   };
   /** Sent by a new owner to all processes that it knows of. */
@@ -83,7 +88,16 @@
   /** Sent by a follower: records of the cell log from an offset on, as the owner has read them. */
   'read-log': {
     request: { from: number; waitMs: number };
-    reply: { end: number; records: readonly Uint8Array[] };
+    /**
+     * `ageMs`: upper bound of the age of this answer when it was sent, null for unknown; `heldMs`: how
+     * long the call was held. Both are missing from a process of the previous version.
+     */
+    reply: {
+      end: number;
+      records: readonly Uint8Array[];
+      ageMs?: number | null;
+      heldMs?: number;
+    };
   };
   /**
    * Sent by a process without a current replica. `outcome` is empty when the job is not known; `isAbsent`
