Hand a refusal of the store to the client after a slow answer

What callers would see: no answer until their deadline, and 504, while the store refuses every append; up to three submissions behind it wait as well.

Cause: each pass of a flight sent another attempt before it took a result that was there already, so that after one answer slower than 200 ms there was always an attempt open when a refusal was taken.

Now results wait in a list, and no attempt is sent while one is there. The new test (first answer after 230 ms, all refused) found no outcome before and 'refused' within three calls now; 'a refusal is no refusal when an earlier attempt ends as unknown beside it' holds.

--- a/packages/cell-log/src/append-flight.ts
+++ b/packages/cell-log/src/append-flight.ts
@@ -28,8 +28,6 @@
   result: AppendResult;
   sentMs: number;
   as: Numbering;
-  /** To be called when the result is taken: one that is not taken must not get lost. */
-  remove: () => void;
 }
 
 /** How a flight ended: the outcome for its callers, and what it means for the producer. */
@@ -66,8 +64,10 @@
   hasFailed = false;
   private isUnknown = false;
   private attempts = 0;
-  /** Attempts whose result was not taken yet. */
-  private readonly open = new Set<Promise<Answer>>();
+  /** Attempts without a result. */
+  private readonly open = new Set<Promise<void>>();
+  /** Results that were not taken yet; one may arrive while the flight pauses. */
+  private readonly answers: Answer[] = [];
 
   private constructor(private readonly options: Options) {
     this.startedMs = options.clock.monotonicMs();
@@ -81,11 +81,13 @@
 
   async land(): Promise<Landing> {
     for (;;) {
-      if (this.open.size < MAX_ATTEMPTS_OPEN) this.attempt();
-      const answered = await this.nextAnswer();
-      if (answered === undefined) continue;
-      answered.remove();
-      const landing = await this.take(answered.result, answered.sentMs, answered.as);
+      if (this.answers.length === 0) {
+        if (this.open.size < MAX_ATTEMPTS_OPEN) this.attempt();
+        await this.nextAnswer();
+      }
+      const answer = this.answers.shift();
+      if (answer === undefined) continue;
+      const landing = await this.take(answer);
       if (landing !== undefined) return landing;
       if (this.options.isClosed()) return { outcome: this.undecided() };
     }
@@ -96,35 +98,26 @@
     const as = this.numbering;
     const sentMs = clock.monotonicMs();
     this.attempts += 1;
-    const answer = send(records, as).then((result): Answer => {
-      const remove = (): void => {
-        this.open.delete(answer);
-      };
-      return { result, sentMs, as, remove };
+    const attempt = send(records, as).then((result) => {
+      this.open.delete(attempt);
+      this.answers.push({ result, sentMs, as });
     });
-    this.open.add(answer);
+    this.open.add(attempt);
   }
 
-  /** Undefined when it is time for another attempt. */
-  private async nextAnswer(): Promise<Answer | undefined> {
+  /** Waits for a result, or until it is time for another attempt. */
+  private async nextAnswer(): Promise<void> {
     const { clock, repeatMs } = this.options;
     let cancel: () => void = () => undefined;
-    const due = new Promise<undefined>((resolve) => {
-      cancel = clock.after(repeatMs(this.attempts), () => {
-        resolve(undefined);
-      });
+    const due = new Promise<void>((resolve) => {
+      cancel = clock.after(repeatMs(this.attempts), resolve);
     });
-    const answered = await Promise.race([...this.open, due]);
+    await Promise.race([...this.open, due]);
     cancel();
-    return answered;
   }
 
   /** The landing that a result means; undefined to go on. */
-  private async take(
-    result: AppendResult,
-    sentMs: number,
-    as: Numbering,
-  ): Promise<Landing | undefined> {
+  private async take({ result, sentMs, as }: Answer): Promise<Landing | undefined> {
     switch (result.kind) {
       case 'appended':
         this.answerMs = this.options.clock.monotonicMs() - sentMs;
@@ -148,7 +141,7 @@
         return undefined;
       case 'refused':
         this.noteFailure(result.kind, result.reason);
-        if (!this.options.insists && !this.isUnknown && this.open.size === 0) {
+        if (!this.options.insists && !this.isUnknown && this.isSettled()) {
           // Only the oldest append may leave its number unused: those after it get new ones.
           if (this.earlier !== undefined) await this.earlier;
           return { outcome: AppendOutcome.refused };
@@ -158,8 +151,13 @@
     }
   }
 
+  /** True when the results of all attempts were taken. */
+  private isSettled(): boolean {
+    return this.open.size === 0 && this.answers.length === 0;
+  }
+
   private undecided(): AppendOutcome {
-    return this.isUnknown || this.open.size > 0 ? AppendOutcome.unknown : AppendOutcome.refused;
+    return this.isUnknown || !this.isSettled() ? AppendOutcome.unknown : AppendOutcome.refused;
   }
 
   private async pause(ms: number): Promise<void> {
--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -107,6 +107,38 @@
   expect(await outcome).toEqual('unknown');
 });
 
+// Load pattern: a store that answers late and refuses. Guards against refusals that reach no client because
+// another attempt is sent before the result of an earlier one is taken.
+test('hands a refusal to the caller after a slow answer', async () => {
+  const clock = ManualClock.create();
+  let calls = 0;
+  const appender = Appender.create({
+    clock,
+    log: () => undefined,
+    topic: 't',
+    producer: 'p',
+    epoch: 1,
+    sequence: 0,
+    insists: false,
+    onFenced: () => undefined,
+    store: {
+      append: () => {
+        calls += 1;
+        return new Promise((resolve) => {
+          clock.after(calls === 1 ? 230 : 40, () => {
+            resolve({ kind: 'refused', reason: 'busy' });
+          });
+        });
+      },
+    },
+  });
+  const outcome = appender.append([record]);
+  await settle(clock);
+  await settle(clock);
+  expect(await Promise.race([outcome, Promise.resolve('open')])).toEqual('refused');
+  expect(calls).toBeLessThan(4);
+});
+
 // Guards against a client that waits for a store that has said that nothing was done.
 test('hands a plain refusal to the caller and reuses the number', async () => {
   const { appender, clock, calls } = create([{ kind: 'refused', reason: 'busy' }]);
