Send a start only to the life of a worker for which it is recorded

What workers would see: tasks started a second time beside their first run. A start is decided, its worker is born anew and reached before the record comes back; the order went to the new life while the record stands for the old one, and a successor that knows the old life took the run for over.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -175,6 +175,80 @@
   }
 });
 
+// Load pattern: a slow store, so that many starts are decided and not recorded yet when their worker
+// restarts. Guards against a start that is recorded for the old life and sent to the new one: a successor
+// that knows the old life takes the run for over.
+test('sends no start to another life of a worker than the one it is recorded for', async () => {
+  for (const leadMs of [720, 760, 800, 840]) {
+    const cell = EmulatedCell.create({ seed: 50, processes: 3, workers: 1 });
+    await cell.start();
+    await cell.run(4_000);
+    cell.store.answerMs = 150;
+    await cell.run(800);
+    let number = 0;
+    const submitFor = async (ms: number): Promise<void> => {
+      for (let passed = 0; passed < ms; passed += 20) {
+        number += 1;
+        const job = makeJob(number, [{ millicores: 50, estimateMs: 6_000 }]);
+        void cell.submit(job, 'p0');
+        await cell.run(20);
+      }
+    };
+    await submitFor(leadMs);
+    cell.workers.get('w0')?.crash();
+    cell.addWorker('w0');
+    await submitFor(140);
+    const owner = cell.processes.find(({ process }) => process.isOwner());
+    await Promise.all([owner?.process.handOver(), cell.run(1_000)]);
+    cell.store.answerMs = 4;
+    await cell.run(9_000);
+    expect(cell.violations()).toEqual([]);
+  }
+});
+
+// Load pattern: orders that workers carry out without an answer. Guards against jobs that count as waiting
+// although the lists of the workers show that they run.
+test('learns from the lists of the workers which jobs have begun', async () => {
+  const cell = await startCell(56);
+  for (const worker of cell.workers.values())
+    worker.faultFor = (_caller, kind) => (kind === 'start' ? CallFault.answerLost : CallFault.none);
+  const jobs = Array.from({ length: 8 }, (_, index) =>
+    makeJob(index + 1, [{ millicores: 1_000, estimateMs: 20_000 }]),
+  );
+  const submitted = jobs.map((job) => cell.submit(job, 'p0'));
+  await cell.run(5_000);
+  expect((await Promise.all(submitted)).filter((answer) => answer !== 'accepted')).toEqual([]);
+  const [first] = cell.processes;
+  expect(await first?.process.front.pendingOf('q')).toEqual(0);
+  expect(jobs.map(({ id }) => first?.process.outcomeOf(id))).toEqual(jobs.map(() => 'running'));
+  expect(cell.violations()).toEqual([]);
+});
+
+// Guards against the run of a cancelled job on the new life of a worker being taken for over by a successor
+// that knows the old life: the room that it still takes would be given away.
+test('keeps the room of a cancelled job on the new life of a worker through a hand-over', async () => {
+  for (const seed of [57, 58, 59]) {
+    const cell = await startCell(seed);
+    for (const worker of [...cell.workers.values()]) if (worker.entry.id !== 'w0') worker.crash();
+    cell.workers.get('w0')?.crash();
+    await cell.run(1_000 + 150 * (seed - 57));
+    const worker = cell.addWorker('w0');
+    worker.faultFor = (_caller, kind) => (kind === 'stop' ? CallFault.lost : CallFault.none);
+    const first = makeJob(1, [{ millicores: 8_000, estimateMs: 5_000 }]);
+    void cell.submit(first, 'p0');
+    while (cell.history.length === 0 && cell.clock.monotonicMs() < 9_000) await cell.run(10);
+    const cancelled = cell.cancel(first.id, 'p1');
+    await cell.run(60);
+    const owner = cell.processes.find(({ process }) => process.isOwner());
+    const second = cell.submit(makeJob(2, [{ millicores: 8_000, estimateMs: 500 }]), 'p1');
+    await Promise.all([owner?.process.handOver(), cell.run(1_500)]);
+    expect(await cancelled).toEqual(true);
+    expect(await second).toEqual('accepted');
+    await cell.run(8_000);
+    expect(cell.violations()).toEqual([]);
+  }
+});
+
 // Guards against work that is thrown away when a worker leaves, though it could resume elsewhere.
 test('stops resumable work before its worker leaves', async () => {
   const cell = await startCell(11);
--- a/packages/cell-owner/src/index.ts
+++ b/packages/cell-owner/src/index.ts
@@ -187,6 +187,9 @@
       case 'start':
         this.starter.startRecorded(record, effective);
         break;
+      case 'life':
+        this.lifeRecorded(record.worker);
+        break;
       case 'begun':
         this.begun.forget(record.job);
         break;
@@ -278,14 +281,19 @@
     });
   }
 
-  /** Records the life of a worker before the first start there. */
+  /** Records the life of a worker before the first start there, and again if the state has forgotten it. */
   private recordLife(link: WorkerLink): void {
     const { born } = link.entry;
-    if (link.isLifeRecorded || this.options.state.lives.get(link.id) === born) return;
-    link.isLifeRecorded = true;
+    if (link.isLifeOnItsWay || this.options.state.lives.get(link.id) === born) return;
+    link.isLifeOnItsWay = true;
     this.append([{ kind: 'life', worker: link.id, born }]);
   }
 
+  private lifeRecorded(worker: string): void {
+    const link = this.links.get(worker);
+    if (link !== undefined) link.isLifeOnItsWay = false;
+  }
+
   /** A life of a worker is proven over: nothing runs there any more. */
   private endLife(link: WorkerLink, reason: string): void {
     if (this.links.get(link.id) !== link) return;
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -65,6 +65,7 @@
     decided: Instant | undefined,
   ): string | undefined {
     if (link?.isStartable() !== true) return 'worker-not-startable';
+    if (link.entry.born !== view.born) return 'worker-born-anew';
     if (decided === undefined) return 'decision-of-a-former-owner';
     if (decided.ageMs() > limits.maxDecisionAgeMs) return 'decision-too-old';
     const found = this.context.state.taskOf(view.task);
--- a/packages/cell-owner/src/worker-link.ts
+++ b/packages/cell-owner/src/worker-link.ts
@@ -41,8 +41,8 @@
   /** True once the worker has seen this owner's token. */
   isFenced = false;
   isReachable = true;
-  /** The owner has handed a record of this life to the log. */
-  isLifeRecorded = false;
+  /** A record of this life was handed to the log and has not come back. */
+  isLifeOnItsWay = false;
   /** Upper bound of the monotonic time at which all leases that this owner gave are over. */
   leaseOverMs: number;
   /** Highest number of the ends that were handed to the owner. */
