--- a/packages/cell-state/src/index.test.ts
+++ b/packages/cell-state/src/index.test.ts
@@ -8,6 +8,7 @@
 import { plainStep } from '@acaciahoist/cell-types/plain-step';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import { CellState } from './index.js';
+import type { JobProgress } from './job-progress.js';
 import { recordCodec } from './record-codec.js';
 import { recordStructures } from './record-structures.js';
 import { snapshotCodec } from './snapshot-codec.js';
@@ -84,6 +85,27 @@
   }
 });
 
+// Guards against an upgrade that keeps counting recorded starts as beginnings, or takes runs of which the
+// life is not known for runs on some life.
+test('reads a snapshot of a version that did not record beginnings and lives', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: job() });
+  state.apply({ kind: 'life', worker: 'w', born: 10 });
+  state.apply(start(0));
+  const packr = new Packr({ useRecords: true, mapsAsObjects: true });
+  const content = packr.unpack(snapshotCodec.encode(state)) as Record<string, unknown>;
+  const [progress] = content.jobs as JobProgress[];
+  if (progress === undefined) throw new Error('the snapshot holds no job');
+  delete content.lives;
+  progress.begun = true;
+  for (const task of progress.occurrences[0]?.[0]?.tasks ?? [])
+    delete (task as Partial<typeof task>).born;
+  const restored = snapshotCodec.decode(packr.pack(content), 1_000);
+  expect(restored.pendingOf('q')).toEqual(1);
+  expect(restored.outcomeOf(id)).toEqual('queued');
+  expect(restored.taskOf(`${id}.0.0.0`)?.task.born).toEqual(0);
+});
+
 // Guards against attempts that are counted for ends which are not failures.
 test('only failed runs count as attempts', () => {
   const state = CellState.create(1_000);
--- a/packages/cell-state/src/snapshot-codec.ts
+++ b/packages/cell-state/src/snapshot-codec.ts
@@ -52,6 +52,7 @@
     for (const progress of content.jobs) {
       for (const steps of progress.occurrences)
         for (const step of steps) for (const task of step.tasks) completeLife(task);
+      if (content.lives === undefined) progress.begun = hasReportedEnd(progress);
       state.restore(progress);
     }
     for (const { id, outcome, endedMs, leftovers } of content.ended) {
@@ -62,6 +63,16 @@
   },
 };
 
+/**
+ * Former versions took a recorded start for the beginning of a job. What began without an end so far is
+ * found again in the lists of the workers.
+ */
+function hasReportedEnd(progress: JobProgress): boolean {
+  return progress.occurrences.some((steps) =>
+    steps.some((step) => step.done > 0 || step.gangFailures > 0),
+  );
+}
+
 /** Of runs that a former version recorded it is not known on which life of the worker they are. */
 function completeLife(run: { born?: number }): void {
   run.born ??= 0;
