Do not show a running job as queued because another process knows less

Found by the review: an outcome that another process tells has no age. A front whose replica is over 0.9 s old asks others, and took any answer for the younger one; a standby that knows less turned running into queued. A job never goes back, so the outcome that is further on is the younger one. The new test failed before.

--- a/packages/cell-front/src/index.test.ts
+++ b/packages/cell-front/src/index.test.ts
@@ -160,6 +160,15 @@
   expect(outcome.isOk && outcome.value).toEqual('completed');
 });
 
+// Guards against a job that goes back from running to queued because another process knows less.
+test('does not take an older outcome of another process for a younger one', async () => {
+  const { front, state } = create({ asked: { kind: 'known', outcome: 'queued' } });
+  state.apply({ kind: 'job', job });
+  state.apply({ kind: 'begun', job: job.id });
+  const outcome = await front.outcomeOf(job.id);
+  expect(outcome.isOk && outcome.value).toEqual('running');
+});
+
 // Guards against clients that wait until their deadline for a store that has gone silent for this
 // process only, while another process reaches it.
 test('stores a job through another process when the store does not answer this one', async () => {
--- a/packages/cell-front/src/index.ts
+++ b/packages/cell-front/src/index.ts
@@ -105,7 +105,7 @@
     const mayHaveEnded = known === undefined || !ENDED.has(known);
     if (mayHaveEnded && this.options.replicaAgeMs() > REPLICA_BEHIND_MS) {
       const answer = await this.options.askOutcome(id);
-      if (answer?.kind === 'known') return Result.ok(answer.outcome);
+      if (answer?.kind === 'known') return Result.ok(later(known, answer.outcome));
     }
     if (known !== undefined) return Result.ok(known);
     const isCurrent = await this.options.sync(SYNC_MS);
@@ -250,6 +250,11 @@
   }
 }
 
+/** A job never goes back: of two outcomes of different age the one that is further on is the younger. */
+function later(known: JobOutcome | undefined, told: JobOutcome): JobOutcome {
+  return known === 'running' && told === 'queued' ? known : told;
+}
+
 function unknownJob(id: string): Failure {
   return Failure.create(ErrorKind.unknownJob, `no job with the id ${id} is known`);
 }
