--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -40,6 +40,38 @@
   return { appender, clock, calls, fenced: () => fenced };
 }
 
+/** An appender on a store whose answers take some time; the answer goes by the number of the call. */
+function createTimed(answer: (call: number) => { afterMs: number; result: AppendResult }): {
+  appender: Appender;
+  clock: ManualClock;
+  countCalls: () => number;
+} {
+  const clock = ManualClock.create();
+  let calls = 0;
+  const appender = Appender.create({
+    clock,
+    log: () => undefined,
+    topic: 't',
+    producer: 'p',
+    epoch: 1,
+    sequence: 0,
+    insists: false,
+    onFenced: () => undefined,
+    store: {
+      append: () => {
+        calls += 1;
+        const { afterMs, result } = answer(calls);
+        return new Promise((resolve) => {
+          clock.after(afterMs, () => {
+            resolve(result);
+          });
+        });
+      },
+    },
+  });
+  return { appender, clock, countCalls: () => calls };
+}
+
 async function settle(clock: ManualClock): Promise<void> {
   for (let round = 0; round < 20; round += 1) {
     clock.advance(20);
@@ -73,29 +105,11 @@
 // Guards against "refused" for a record whose first attempt ended without an answer while the flight
 // paused after the refusal of its second one.
 test('a refusal is no refusal when an earlier attempt ends as unknown beside it', async () => {
-  const clock = ManualClock.create();
-  let calls = 0;
-  const appender = Appender.create({
-    clock,
-    log: () => undefined,
-    topic: 't',
-    producer: 'p',
-    epoch: 1,
-    sequence: 0,
-    insists: false,
-    onFenced: () => undefined,
-    store: {
-      append: () => {
-        calls += 1;
-        if (calls > 1) return Promise.resolve({ kind: 'refused', reason: 'busy' });
-        return new Promise((resolve) => {
-          clock.after(230, () => {
-            resolve({ kind: 'unknown', reason: 'lost' });
-          });
-        });
-      },
-    },
-  });
+  const { appender, clock } = createTimed((call) =>
+    call === 1
+      ? { afterMs: 230, result: { kind: 'unknown', reason: 'lost' } }
+      : { afterMs: 0, result: { kind: 'refused', reason: 'busy' } },
+  );
   const outcome = appender.append([record]);
   for (let passed = 0; passed < 1_000; passed += 20) {
     clock.advance(20);
@@ -110,33 +124,15 @@
 // Load pattern: a store that answers late and refuses. Guards against refusals that reach no client because
 // another attempt is sent before the result of an earlier one is taken.
 test('hands a refusal to the caller after a slow answer', async () => {
-  const clock = ManualClock.create();
-  let calls = 0;
-  const appender = Appender.create({
-    clock,
-    log: () => undefined,
-    topic: 't',
-    producer: 'p',
-    epoch: 1,
-    sequence: 0,
-    insists: false,
-    onFenced: () => undefined,
-    store: {
-      append: () => {
-        calls += 1;
-        return new Promise((resolve) => {
-          clock.after(calls === 1 ? 230 : 40, () => {
-            resolve({ kind: 'refused', reason: 'busy' });
-          });
-        });
-      },
-    },
-  });
+  const { appender, clock, countCalls } = createTimed((call) => ({
+    afterMs: call === 1 ? 230 : 40,
+    result: { kind: 'refused', reason: 'busy' },
+  }));
   const outcome = appender.append([record]);
   await settle(clock);
   await settle(clock);
   expect(await Promise.race([outcome, Promise.resolve('open')])).toEqual('refused');
-  expect(calls).toBeLessThan(4);
+  expect(countCalls()).toBeLessThan(4);
 });
 
 // Guards against a client that waits for a store that has said that nothing was done.
