Do not give the cell up for an outdated answer about the sequence of appends

What callers saw: a second and more without starts, and 504, while the store loses answers.

Cause: an append that is sent while the one before it is open may be answered with 'out of sequence'. When that answer was taken only after the one before it had landed, it counted as the store's present word, and an owner whose sequence is lost must give up.

Now only an attempt that was sent with no append open before it proves a lost sequence. The test failed before ('unknown' for the second append, fenced).

--- a/packages/cell-log/src/append-flight.ts
+++ b/packages/cell-log/src/append-flight.ts
@@ -28,6 +28,8 @@
   result: AppendResult;
   sentMs: number;
   as: Numbering;
+  /** The append before this one had not landed when the attempt was sent. */
+  isAhead: boolean;
 }
 
 /** How a flight ended: the outcome for its callers, and what it means for the producer. */
@@ -97,10 +99,11 @@
     const { clock, records, send } = this.options;
     const as = this.numbering;
     const sentMs = clock.monotonicMs();
+    const isAhead = this.earlier !== undefined;
     this.attempts += 1;
     const attempt = send(records, as).then((result) => {
       this.open.delete(attempt);
-      this.answers.push({ result, sentMs, as });
+      this.answers.push({ result, sentMs, as, isAhead });
     });
     this.open.add(attempt);
   }
@@ -117,7 +120,7 @@
   }
 
   /** The landing that a result means; undefined to go on. */
-  private async take({ result, sentMs, as }: Answer): Promise<Landing | undefined> {
+  private async take({ result, sentMs, as, isAhead }: Answer): Promise<Landing | undefined> {
     switch (result.kind) {
       case 'appended':
         this.answerMs = this.options.clock.monotonicMs() - sentMs;
@@ -129,9 +132,9 @@
       case 'out-of-sequence':
       case 'moved':
         if (as !== this.numbering) return undefined;
-        if (this.earlier === undefined)
-          return { outcome: AppendOutcome.unknown, cause: 'out-of-sequence' };
-        await this.earlier;
+        // Of an attempt that was ahead of the sequence this says nothing about the next one.
+        if (!isAhead) return { outcome: AppendOutcome.unknown, cause: 'out-of-sequence' };
+        if (this.earlier !== undefined) await this.earlier;
         return undefined;
       case 'unknown':
         this.isUnknown = true;
--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -135,6 +135,51 @@
   expect(countCalls()).toBeLessThan(4);
 });
 
+// Load pattern: a store that loses answers and carries appends out late. Guards against an owner that gives
+// the cell up because of an answer from before the append ahead of it had landed.
+test('does not take an outdated answer about the sequence for the present one', async () => {
+  const clock = ManualClock.create();
+  let fenced = 0;
+  const attempts = new Map<number, number>();
+  const appender = Appender.create({
+    clock,
+    log: () => undefined,
+    topic: 't',
+    producer: 'p',
+    epoch: 1,
+    sequence: 1,
+    insists: true,
+    onFenced: () => {
+      fenced += 1;
+    },
+    store: {
+      append: ({ producer }) => {
+        const sequence = producer?.sequence ?? 0;
+        const attempt = (attempts.get(sequence) ?? 0) + 1;
+        attempts.set(sequence, attempt);
+        const isOutdated = sequence === 2 && attempt === 1;
+        const result: AppendResult = isOutdated
+          ? { kind: 'out-of-sequence' }
+          : { kind: 'appended', offset: sequence };
+        const afterMs = isOutdated ? 180 : sequence === 1 && attempt === 1 ? 5_000 : 20;
+        return new Promise((resolve) => {
+          clock.after(afterMs, () => {
+            resolve(result);
+          });
+        });
+      },
+    },
+  });
+  const outcomes: string[] = [];
+  void appender.append([record]).then((outcome) => outcomes.push(outcome));
+  clock.advance(60);
+  void appender.append([record]).then((outcome) => outcomes.push(outcome));
+  await settle(clock);
+  await settle(clock);
+  expect(outcomes).toEqual(['appended', 'appended']);
+  expect(fenced).toEqual(0);
+});
+
 // Guards against a client that waits for a store that has said that nothing was done.
 test('hands a plain refusal to the caller and reuses the number', async () => {
   const { appender, clock, calls } = create([{ kind: 'refused', reason: 'busy' }]);
