Send nothing ahead of the first append of an epoch

Cause: up to four appends are open at a time, which is safe since the store refuses one that is ahead of the sequence. In a new epoch it has no sequence yet and takes any number as the first: the second append could land before the first, whose repeats then said nothing certain.

Now nothing is sent beside the first append of an epoch until one has landed. The new test failed before ('unknown' for the first append). An owner's records continue its claim and are not held up.

--- a/packages/cell-log/src/append-flight.ts
+++ b/packages/cell-log/src/append-flight.ts
@@ -20,6 +20,8 @@
   /** Time in ms after which the n-th attempt, from 1, is followed by another one beside it. */
   repeatMs: (attempt: number) => number;
   isClosed: () => boolean;
+  /** True once an append of the epoch has landed: only then the store refuses one that is ahead of another. */
+  isEpochBegun: () => boolean;
   onFirstFailure: (result: string, reason: string) => void;
 }
 
@@ -84,6 +86,10 @@
   async land(): Promise<Landing> {
     for (;;) {
       if (this.answers.length === 0) {
+        if (this.earlier !== undefined && !this.options.isEpochBegun()) {
+          await this.earlier;
+          if (this.options.isClosed()) return { outcome: this.undecided() };
+        }
         if (this.open.size < MAX_ATTEMPTS_OPEN) this.attempt();
         await this.nextAnswer();
       }
--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -135,6 +135,42 @@
   expect(countCalls()).toBeLessThan(4);
 });
 
+// Load pattern: processes that begin to append while the store loses calls. Guards against a second append
+// that begins the sequence in place of the first one, of which nobody can then say what became of it.
+test('sends nothing ahead of the first append of an epoch', async () => {
+  const clock = ManualClock.create();
+  let calls = 0;
+  let last: number | undefined;
+  const appender = Appender.create({
+    clock,
+    log: () => undefined,
+    topic: 't',
+    producer: 'p',
+    epoch: 1,
+    sequence: 0,
+    insists: false,
+    onFenced: () => undefined,
+    store: {
+      append: ({ producer }) => {
+        calls += 1;
+        const { sequence = 0 } = producer ?? {};
+        if (calls === 1) return new Promise(() => undefined);
+        if (last !== undefined && sequence !== last + 1)
+          return Promise.resolve({ kind: 'out-of-sequence' });
+        last = sequence;
+        return Promise.resolve({ kind: 'appended', offset: sequence });
+      },
+    },
+  });
+  const outcomes: string[] = [];
+  void appender.append([record]).then((outcome) => outcomes.push(outcome));
+  clock.advance(60);
+  void appender.append([record]).then((outcome) => outcomes.push(outcome));
+  await settle(clock);
+  await settle(clock);
+  expect(outcomes).toEqual(['appended', 'appended']);
+});
+
 // Load pattern: a store that loses answers and carries appends out late. Guards against an owner that gives
 // the cell up because of an answer from before the append ahead of it had landed.
 test('does not take an outdated answer about the sequence for the present one', async () => {
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -71,10 +71,13 @@
   private answerMs = 0;
   private sequence: number;
   private epoch: number;
+  private isEpochBegun: boolean;
 
   private constructor(private readonly options: Options) {
     this.sequence = options.sequence;
     this.epoch = options.epoch;
+    // A later number continues what another append has begun, such as the claim of an owner.
+    this.isEpochBegun = options.sequence > 0;
   }
 
   /** Number of callers whose records wait for an append. */
@@ -151,6 +154,7 @@
         store.append({ topic, records, producer: { name: producer, epoch, sequence } }),
       repeatMs: (attempt) => this.repeatMs(attempt),
       isClosed: () => this.isClosed,
+      isEpochBegun: () => this.isEpochBegun,
       onFirstFailure: (result, reason) => {
         log('warn', 'append-not-answered', { topic, result, reason });
       },
@@ -172,8 +176,10 @@
     if (next !== undefined)
       next.flight.earlier = index === 0 ? undefined : this.open[index - 1]?.landed;
     if (flight.answerMs !== undefined) this.answerMs = flight.answerMs;
-    if (outcome === AppendOutcome.appended)
+    if (outcome === AppendOutcome.appended) {
+      this.isEpochBegun = true;
       this.options.onAppended?.(flight.offset, flight.records, flight.started);
+    }
     if (cause === 'fenced') {
       this.isClosed = true;
       this.options.onFenced();
@@ -209,6 +215,7 @@
   private renumber(): void {
     this.epoch += 1;
     this.sequence = 0;
+    this.isEpochBegun = false;
     for (const { flight } of this.open) {
       flight.numbering = { epoch: this.epoch, sequence: this.sequence };
       this.sequence += 1;
