Judge a start by the time at which its order was sent

Trace: the order left at 7,240 ms, 98 ms before the cancel was acknowledged, was carried out by the worker 4 s later, and its run was stopped 198 ms after that. The users' rules allow that case: bounds of time do not hold for orders that a worker carries out late, and such a task has to be gone some seconds after its start.

The check now goes by the time of the order, and demands besides that a run that starts after its cancel ends within 3.2 s.

--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -89,15 +89,17 @@
 
   client(caller: string): WorkerClient {
     return {
-      start: (order, timeoutMs) =>
-        this.call<StartReply>(
+      start: (order, timeoutMs) => {
+        const sentMs = this.options.clock.monotonicMs();
+        return this.call<StartReply>(
           caller,
           'start',
           timeoutMs,
-          () => this.start(order),
+          () => this.start(order, sentMs),
           { kind: 'unknown', reason: 'emulated' },
           { kind: 'refused', reason: 'unhealthy' },
-        ),
+        );
+      },
       stop: (task, run, token, timeoutMs) =>
         this.call(
           caller,
@@ -187,7 +189,7 @@
     };
   }
 
-  private start(order: StartOrder): StartReply {
+  private start(order: StartOrder, sentMs: number): StartReply {
     if (order.token < this.token) return { kind: 'refused', reason: 'fence' };
     this.token = order.token;
     this.extend(order.leaseUntilMs);
@@ -215,7 +217,7 @@
       cancel,
       sharePercent: 100,
     });
-    this.note('started', order.task, order.run, undefined);
+    this.note('started', order.task, order.run, undefined, sentMs);
     if (gangSize > 0) {
       const key = gangKey(order.task, order.run);
       this.options.gangs.join(key, order.task, gangSize, work, finish);
@@ -283,9 +285,11 @@
     task: string,
     run: number,
     how: RunEnd | undefined,
+    sentMs?: number,
   ): void {
     const atMs = this.options.clock.monotonicMs();
-    this.options.record({ atMs, kind, task, run, worker: this.entry.id, how });
+    const event = { atMs, sentMs: sentMs ?? atMs, kind, task, run, worker: this.entry.id, how };
+    this.options.record(event);
   }
 
   /** Waits until a run has ended or the worker has died, `timeoutMs` at most. */
--- a/packages/cell-emulator/src/find-violations.ts
+++ b/packages/cell-emulator/src/find-violations.ts
@@ -17,6 +17,9 @@
 /** Time in ms within which starts may still follow a cancel. */
 const CANCEL_MS = 3_000;
 
+/** Time in ms within which a run that an order started late, after the cancel, is stopped: 3 s and the stop. */
+const LATE_STOP_MS = 3_200;
+
 /**
  * Checks what the workers saw against the promises: no task runs twice at once, none starts after it was
  * done or before the steps before it, no worker is over its room, and nothing starts that was refused,
@@ -61,7 +64,9 @@
     if (total > options.workerMillicores)
       found.push(`${where} is over the room of ${event.worker}`);
     const cancelledMs = options.cancelledMs.get(ref.job) ?? Number.POSITIVE_INFINITY;
-    if (event.atMs > cancelledMs + CANCEL_MS) found.push(`${where} starts after its cancel`);
+    if (event.sentMs > cancelledMs + CANCEL_MS) found.push(`${where} is started after its cancel`);
+    if (event.atMs > cancelledMs + CANCEL_MS && !endsSoon(options.history, event))
+      found.push(`${where} starts late after its cancel and runs on`);
     if (options.refused.has(ref.job)) found.push(`${where} starts though its job was refused`);
     for (const before of step.after) {
       const earlier = job.steps[before];
@@ -74,3 +79,15 @@
   }
   return [...new Set(found)];
 }
+
+function endsSoon(history: readonly HistoryEvent[], started: HistoryEvent): boolean {
+  const { task, run, worker, atMs } = started;
+  return history.some(
+    (event) =>
+      event.kind === 'ended' &&
+      event.task === task &&
+      event.run === run &&
+      event.worker === worker &&
+      event.atMs <= atMs + LATE_STOP_MS,
+  );
+}
