Log what an answer of 410 for a job rests on

Callers saw 410 for a job that had ended less than status_s before. No line told whether the replica had dropped the job too early, whether the log time ran ahead, or whether the replica never had the job.

No decision changes.

--- a/packages/cell-front/src/cell-front.ts
+++ b/packages/cell-front/src/cell-front.ts
@@ -153,7 +153,7 @@
     if (syncedJobState !== undefined) return Result.ok(syncedJobState);
     return Result.err(
       isCurrent
-        ? createUnknownJobFailure(id)
+        ? this.createUnknownJobFailure(id, 'replica')
         : this.createUnavailableFailure(`the state of job ${id} cannot be determined at present`),
     );
   }
@@ -173,7 +173,7 @@
     return Result.err(
       remoteState === undefined
         ? this.createUnavailableFailure(`the state of job ${id} cannot be determined at present`)
-        : createUnknownJobFailure(id),
+        : this.createUnknownJobFailure(id, 'heard'),
     );
   }
 
@@ -290,6 +290,26 @@
     return this.acceptedJobs.has(id) ? 'queued' : undefined;
   }
 
+  /**
+   * Logs what the answer rests on: with the `job-ended` line of the owner it shows whether the
+   * retention time of the job has passed in the log, or whether the replica never had the job.
+   */
+  private createUnknownJobFailure(id: string, source: 'replica' | 'heard'): Failure {
+    const { log, count, state, replicaAgeMs } = this.options;
+    const replica = state();
+    const replicaAge = replicaAgeMs();
+    log('info', 'job-unknown', {
+      job: id,
+      source,
+      logTimeMs: replica?.logTimeMs ?? null,
+      offset: replica?.nextOffset ?? null,
+      endedJobs: replica?.ended.size ?? null,
+      replicaAgeMs: Number.isFinite(replicaAge) ? Math.round(replicaAge) : null,
+    });
+    count('jobs_unknown_total');
+    return Failure.create(ErrorKind.unknownJob, `no job with the id ${id} is known`);
+  }
+
   private createUnavailableFailure(message: string): Failure {
     return Failure.create(ErrorKind.logUnavailable, message);
   }
@@ -320,7 +340,3 @@
 ): CellJobState {
   return knownState === 'running' && reportedState === 'queued' ? knownState : reportedState;
 }
-
-function createUnknownJobFailure(id: string): Failure {
-  return Failure.create(ErrorKind.unknownJob, `no job with the id ${id} is known`);
-}
--- a/packages/cell-log/src/cell-replica.ts
+++ b/packages/cell-log/src/cell-replica.ts
@@ -199,7 +199,12 @@
       if (state !== undefined && state.nextOffset >= this.state.nextOffset) {
         this.state = state;
         this.isLoaded = true;
-        log('info', 'snapshot-loaded', { offset: state.nextOffset, jobs: state.jobs.size });
+        log('info', 'snapshot-loaded', {
+          offset: state.nextOffset,
+          jobs: state.jobs.size,
+          endedJobs: state.ended.size,
+          logTimeMs: state.logTimeMs,
+        });
         this.options.onReloaded();
         return;
       }
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -442,7 +442,11 @@
     this.adviceCache.forgetJob(id);
     this.begunJobs.forget(id);
     this.workerHealth.forgetJob(id);
-    this.options.log('info', 'job-ended', { job: id, outcome: ended.outcome });
+    this.options.log('info', 'job-ended', {
+      job: id,
+      outcome: ended.outcome,
+      endedMs: ended.endedMs,
+    });
     this.options.count(`jobs_${ended.outcome}_total`);
     for (const task of ended.leftovers.keys()) {
       const trackedRun = this.runs.get(task);
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -465,6 +465,7 @@
         ageMs: Math.round(this.replica.ageMs()),
         jobs: state.jobs.size,
         ended: state.ended.size,
+        logTimeMs: state.logTimeMs,
       },
       cell: this.term?.describe() ?? null,
       peers: this.options.peers.describe(),
