Show with failing tests that an ended job becomes unknown too early

No test reached an expiry: the emulator kept jobs for 120 s and its schedules are shorter.

The emulated cell takes a retention time and checks at every process that each accepted job is known until that time after its end.

--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -34,6 +34,8 @@
 const CLIENT_TIMEOUT_MS = 2_500;
 /** Number of data centres over which processes and workers are spread. */
 const DATA_CENTRE_COUNT = 3;
+/** Default time in ms for which the processes keep ended jobs: longer than any schedule of faults. */
+const DEFAULT_RETENTION_MS = 120_000;
 /** Largest step in ms by which the clock advances before the code that is due runs. */
 const CLOCK_STEP_MS = 2;
 
@@ -47,6 +49,8 @@
   callCostMs?: Readonly<Record<string, number>>;
   /** Number of processes up to which all hold a replica, and number of standbys in larger cells. */
   replicas?: { maxSmallCellSize: number; standbys: number };
+  /** Time in ms for which the processes keep ended jobs; `DEFAULT_RETENTION_MS` if unset. */
+  retentionMs?: number;
 }
 
 /** A process of the cell; `process` and `clock` belong to its newest incarnation. */
@@ -86,8 +90,8 @@
   readonly jobs = new Map<string, CellJob>();
   /** Ids of the jobs that a process has accepted. */
   readonly acceptedJobs = new Set<string>();
-  /** Ids of the jobs that a client has requested to cancel, whatever the result was. */
-  readonly cancelRequestedJobs = new Set<string>();
+  /** Time at which a client first requested to cancel a job, whatever the result was, by job id. */
+  readonly cancelRequestedAtMs = new Map<string, number>();
   /** Ids of the jobs that no process accepted and whose last submission was refused. */
   readonly refusedJobs = new Set<string>();
   /** Time at which the last cancel of a job was acknowledged, by job id. */
@@ -105,12 +109,16 @@
   private readonly acceptedAtMs = new Map<string, number>();
   /** Description of the first pending count that was too low, by process. */
   private readonly lowPendingCounts = new Map<string, string>();
+  /** Description of the first answer that a job is unknown although it must be known, by job id. */
+  private readonly unknownJobs = new Map<string, string>();
+  private readonly retentionMs: number;
   private incarnationCount = 0;
   /** Time up to which the processor of a process is busy, by name of the process. */
   private readonly busyUntilMs = new Map<string, number>();
 
   private constructor(private readonly options: Options) {
     this.random = Random.create(options.seed);
+    this.retentionMs = options.retentionMs ?? DEFAULT_RETENTION_MS;
     this.store = EmulatedStore.create(this.clock);
     this.gangs = EmulatedGangs.create(this.clock);
     this.peers = EmulatedPeers.create(this.clock, (name) => this.findProcess(name));
@@ -210,7 +218,7 @@
         workers: 'keyed.servers',
       },
       configurationKey: 'config',
-      retentionMs: 120_000,
+      retentionMs: this.retentionMs,
       ownerTimeoutMs: 1_000,
       claimJitterMs: this.random.integer(0, 300 - 1),
       cores: this.options.cores?.[name] ?? 1,
@@ -313,7 +321,8 @@
 
   /** Cancels a job at a process; returns whether the cancel was acknowledged. */
   async cancel(id: string, processName: string): Promise<boolean> {
-    this.cancelRequestedJobs.add(id);
+    if (!this.cancelRequestedAtMs.has(id))
+      this.cancelRequestedAtMs.set(id, this.clock.monotonicMs());
     const target = this.processes.find(
       (candidate) => candidate.name === processName && candidate.isUp,
     );
@@ -344,6 +353,46 @@
     }
   }
 
+  /**
+   * Queries the state of each accepted job at each process, and records the jobs that a process does not know
+   * although they have not ended or their retention time has not passed; the clock may have to advance
+   * before a reply arrives.
+   */
+  checkJobStates(): void {
+    const acceptedIds = [...this.acceptedJobs];
+    for (const { name, process, isUp, clock } of this.processes) {
+      if (!isUp || clock.isStopped) continue;
+      for (const id of acceptedIds) {
+        const sentAtMs = this.clock.monotonicMs();
+        void process.front.jobStateOf(id).then((jobState) => {
+          if (jobState.isOk || jobState.error.kind !== ErrorKind.unknownJob) return;
+          const endedAtMs = this.findEarliestEndMs(id);
+          if (this.unknownJobs.has(id) || sentAtMs >= endedAtMs + this.retentionMs) return;
+          const end = Number.isFinite(endedAtMs) ? `ended at ${endedAtMs} ms` : 'has not ended';
+          this.unknownJobs.set(
+            id,
+            `${name} does not know job ${id} at ${sentAtMs} ms, which ${end}`,
+          );
+        });
+      }
+    }
+  }
+
+  /**
+   * Returns a lower bound of the time at which a job ended, as its workers and clients have seen it;
+   * infinite for a job that has not ended.
+   */
+  private findEarliestEndMs(id: string): number {
+    const taskCount = this.jobs.get(id)?.steps.reduce((sum, { count }) => sum + count, 0) ?? 0;
+    const ends = this.history.filter(
+      ({ kind, task, how }) =>
+        kind === 'ended' && how === RunEnd.done && taskName.jobOf(task) === id,
+    );
+    const isDone = new Set(ends.map(({ task }) => task)).size === taskCount;
+    const doneAtMs = isDone ? Math.max(...ends.map(({ atMs }) => atMs)) : Number.POSITIVE_INFINITY;
+    return Math.min(doneAtMs, this.cancelRequestedAtMs.get(id) ?? Number.POSITIVE_INFINITY);
+  }
+
   /**
    * Counts the jobs that were accepted at least `MAX_PENDING_COUNT_AGE_MS` ago, have no started task and were
    * not requested to be cancelled.
@@ -357,11 +406,14 @@
       ([id, acceptedAtMs]) =>
         acceptedAtMs <= nowMs - MAX_PENDING_COUNT_AGE_MS &&
         !started.has(id) &&
-        !this.cancelRequestedJobs.has(id),
+        !this.cancelRequestedAtMs.has(id),
     ).length;
   }
 
-  /** Returns the violations of the guarantees and, of each process, the first pending count that was too low. */
+  /**
+   * Returns the violations of the guarantees and those that the checks of pending counts and of job states have
+   * found.
+   */
   listViolations(): string[] {
     const violations = findViolations({
       history: this.history,
@@ -370,7 +422,7 @@
       cancelledAtMs: this.cancelledAtMs,
       refusedJobs: this.refusedJobs,
     });
-    return [...violations, ...this.lowPendingCounts.values()];
+    return [...violations, ...this.lowPendingCounts.values(), ...this.unknownJobs.values()];
   }
 
   /** Returns the accepted jobs that a process with a replica does not report as ended. */
