Count the retention of ended jobs after their end and on monotonic clocks

Cause: the state dated the end of a job back to the last renewal or claim before it, and removed the job when the log time, the greatest wall time of any owner, had advanced by the retention. The first shortens the time by up to the gap between two renewals (250 ms, seconds during an outage of the store), the second by every forward jump of a wall clock and by the difference between the clocks of two owners. The class: a bound of the form 'at least' that is counted from a lower bound of its beginning, on a clock that can jump.

Fix: a renewal carries the token of its term, the time on the owner's monotonic clock since the owner applied its claim, and the offset up to which records were in the log then. The sum over the terms is the time of the cell. A predecessor can append nothing after the claim, and the successor counts from when it has read it, so that terms never overlap and the sum never advances faster than true time. A job is dated by the first renewal whose offset lies after its end.

Earlier versions: they ignore the new fields of a renewal and go on by the wall time. Their own renewals count 250 ms each, the least time between two of them.

The unit test of the removal used renewals with a wall time, which is the fault; it is replaced by one that checks both sides of the bound on the term time.

--- a/packages/cell-front/src/cell-front.ts
+++ b/packages/cell-front/src/cell-front.ts
@@ -301,7 +301,7 @@
     log('info', 'job-unknown', {
       job: id,
       source,
-      logTimeMs: replica?.logTimeMs ?? null,
+      cellTimeMs: replica?.cellTimeMs ?? null,
       offset: replica?.nextOffset ?? null,
       endedJobs: replica?.ended.size ?? null,
       replicaAgeMs: Number.isFinite(replicaAge) ? Math.round(replicaAge) : null,
--- a/packages/cell-log/src/cell-replica.ts
+++ b/packages/cell-log/src/cell-replica.ts
@@ -203,7 +203,7 @@
           offset: state.nextOffset,
           jobs: state.jobs.size,
           endedJobs: state.ended.size,
-          logTimeMs: state.logTimeMs,
+          cellTimeMs: state.cellTimeMs,
         });
         this.options.onReloaded();
         return;
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -445,7 +445,7 @@
     this.options.log('info', 'job-ended', {
       job: id,
       outcome: ended.outcome,
-      endedMs: ended.endedMs,
+      cellTimeMs: this.options.state.cellTimeMs,
     });
     this.options.count(`jobs_${ended.outcome}_total`);
     for (const task of ended.leftovers.keys()) {
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -465,7 +465,7 @@
         ageMs: Math.round(this.replica.ageMs()),
         jobs: state.jobs.size,
         ended: state.ended.size,
-        logTimeMs: state.logTimeMs,
+        cellTimeMs: state.cellTimeMs,
       },
       cell: this.term?.describe() ?? null,
       peers: this.options.peers.describe(),
--- a/packages/cell-process/src/owner-writer.ts
+++ b/packages/cell-process/src/owner-writer.ts
@@ -32,6 +32,7 @@
  * owner hint.
  */
 export class OwnerWriter {
+  /** Must be called when the process has applied its claim, since the time of its term counts from then. */
   static create(options: Options): OwnerWriter {
     return new OwnerWriter(options);
   }
@@ -45,10 +46,13 @@
   private isWritingSnapshot = false;
   /** Time at which the newest of the acknowledged appends was sent. */
   private newestAcknowledgedSentAt: Instant;
+  /** Monotonic time at which this process applied its claim. */
+  private readonly claimedAtMs: number;
 
   private constructor(private readonly options: Options) {
     const { clock, store, log, topics, token, onFenced } = options;
     this.newestAcknowledgedSentAt = Instant.create(clock);
+    this.claimedAtMs = clock.monotonicMs();
     const commonOptions = { clock, store, log, epoch: token, repeatsRefused: true, onFenced };
     const producer = CellOwnership.producer;
     // The claim was the append with sequence number 0.
@@ -124,7 +128,16 @@
   private async renew(): Promise<void> {
     if (this.isRenewing) return;
     this.isRenewing = true;
-    await this.append([{ kind: 'renew', wallMs: this.options.clock.wallMs() }]);
+    const { clock, token, state } = this.options;
+    await this.append([
+      {
+        kind: 'renew',
+        wallMs: clock.wallMs(),
+        token,
+        termMs: Math.ceil(clock.monotonicMs() - this.claimedAtMs),
+        asOfOffset: state().nextOffset,
+      },
+    ]);
     this.isRenewing = false;
   }
 
--- a/packages/cell-state/src/cell-state.test.ts
+++ b/packages/cell-state/src/cell-state.test.ts
@@ -192,17 +192,124 @@
   expect(state.jobStateOf(id)).toEqual('running');
 });
 
-// Guards against memory use that grows with every job that has ever ended.
-test('the state removes an ended job when its retention has passed', () => {
+/** A renewal of the owner with token 1, built when the records before `asOfOffset` were in the log. */
+const createRenewal = (termMs: number, asOfOffset: number, wallMs = 0, token = 1): CellRecord => ({
+  kind: 'renew',
+  wallMs,
+  token,
+  termMs,
+  asOfOffset,
+});
+const createClaim = (token: number, wallMs = 0): CellRecord => ({
+  kind: 'claim',
+  owner: 'a',
+  address: 'x',
+  token,
+  wallMs,
+});
+
+/** Creates a state with a retention time of 1,000 ms in which the job was cancelled by the record at offset 2. */
+function createStateWithEndedJob(): CellState {
   const state = CellState.create(1_000);
+  state.apply(createClaim(1));
   state.apply({ kind: 'job', job: createJob() });
   state.apply({ kind: 'cancel', id });
-  state.apply({ kind: 'renew', wallMs: 900 });
+  return state;
+}
+
+// Guards against memory use that grows with every job that has ever ended, and against a job that is removed
+// when exactly its retention time has passed since a time that was rounded.
+test('the state removes an ended job when its retention has passed', () => {
+  const state = createStateWithEndedJob();
+  state.apply(createRenewal(100, 3));
+  state.apply(createRenewal(1_100, 4));
+  expect(state.jobStateOf(id)).toEqual('cancelled');
+  state.apply(createRenewal(1_101, 5));
+  expect(state.jobStateOf(id)).toEqual(undefined);
+});
+
+// Guards against a retention time that begins before the end: a renewal was built when the job had not ended,
+// and the store executed it later.
+test('the state counts the retention time from a renewal that was built after the end', () => {
+  const state = createStateWithEndedJob();
+  state.apply(createRenewal(100, 2));
+  state.apply(createRenewal(900, 3));
+  state.apply(createRenewal(1_900, 4));
+  expect(state.jobStateOf(id)).toEqual('cancelled');
+  state.apply(createRenewal(1_901, 5));
+  expect(state.jobStateOf(id)).toEqual(undefined);
+});
+
+// Guards against a retention time that a wall clock shortens, and against one that counts time twice when the
+// terms of two owners overlap.
+test('the state counts the retention time by the terms of owners, not by their wall clocks', () => {
+  const state = createStateWithEndedJob();
+  state.apply(createRenewal(100, 3));
+  state.apply(createRenewal(600, 4, 5_000));
+  state.apply(createClaim(2, 10_000));
+  state.apply(createRenewal(900, 5, 20_000, 1));
+  state.apply(createRenewal(500, 6, 20_000, 2));
   expect(state.jobStateOf(id)).toEqual('cancelled');
-  state.apply({ kind: 'renew', wallMs: 1_100 });
+  state.apply(createRenewal(501, 7, 20_000, 2));
   expect(state.jobStateOf(id)).toEqual(undefined);
 });
 
+// Guards against a retention time that an owner of an earlier version shortens: it records its wall clock only.
+test('the state counts 250 ms for each renewal of an earlier version', () => {
+  const state = createStateWithEndedJob();
+  const renewal: CellRecord = { kind: 'renew', wallMs: 90_000 };
+  // The first renewal may have been built before the end; the second gives the job its time.
+  for (let count = 0; count < 6; count += 1) state.apply(renewal);
+  expect(state.jobStateOf(id)).toEqual('cancelled');
+  state.apply(renewal);
+  expect(state.jobStateOf(id)).toEqual(undefined);
+});
+
+// Guards against a process that removes an ended job too early, or never, because it continued from a snapshot.
+test('the state keeps the retention times of ended jobs in a snapshot', () => {
+  const restore = (state: CellState): CellState =>
+    snapshotCodec.decode(snapshotCodec.encode(state), 1_000);
+  const undated = restore(createStateWithEndedJob());
+  undated.apply(createRenewal(100, 3));
+  const dated = restore(undated);
+  dated.apply(createRenewal(1_100, 4));
+  expect(dated.jobStateOf(id)).toEqual('cancelled');
+  dated.apply(createRenewal(1_101, 5));
+  expect(dated.jobStateOf(id)).toEqual(undefined);
+});
+
+// Guards against an upgrade after which ended jobs are unknown too early: snapshots of earlier versions hold
+// the wall time of a renewal before the end only.
+test('the state starts the retention time again for ended jobs from a snapshot of an earlier version', () => {
+  const state = createStateWithEndedJob();
+  state.apply(createRenewal(100, 3));
+  const packr = new Packr({ useRecords: true, mapsAsObjects: true });
+  const content = packr.unpack(snapshotCodec.encode(state)) as Record<string, unknown>;
+  delete content.cellTimeMs;
+  delete content.termStartMs;
+  for (const ended of content.ended as Record<string, unknown>[]) delete ended.retainedFromMs;
+  const restored = snapshotCodec.decode(packr.pack(content), 1_000);
+  restored.apply(createRenewal(900, 4));
+  restored.apply(createRenewal(1_900, 5));
+  expect(restored.jobStateOf(id)).toEqual('cancelled');
+  restored.apply(createRenewal(1_901, 6));
+  expect(restored.jobStateOf(id)).toEqual(undefined);
+});
+
+// Guards against processes of earlier versions that cannot decode a renewal, and therefore take its owner for
+// dead: they know the structures of their own table only.
+test('the record codec writes a renewal in a form that earlier versions decode', () => {
+  const renewal = createRenewal(900, 4, 1_700_000_000_000);
+  const earlier = new Packr({
+    useRecords: true,
+    structures: recordStructures.slice(0, 9).map((fields) => [...fields]),
+    maxSharedStructures: 9,
+    maxOwnStructures: 0,
+    mapsAsObjects: true,
+  });
+  expect(earlier.unpack(recordCodec.encode(renewal)) as CellRecord).toEqual(renewal);
+});
+
 // Guards against a snapshot that loses or changes a part of the state.
 test('the snapshot codec restores the state that it has encoded', () => {
   const state = CellState.create(1_000);
--- a/packages/cell-state/src/cell-state.ts
+++ b/packages/cell-state/src/cell-state.ts
@@ -17,12 +17,18 @@
  */
 const MAX_INCARNATIONS = 4_096;
 
+/**
+ * Minimum time in ms between two renewals of an owner of an earlier version, which records no time of
+ * its term.
+ */
+const EARLIER_VERSION_RENEWAL_MS = 250;
+
 /**
  * State of the cell: a deterministic reduction of the cell log. Every process keeps a replica, so
  * that any process can answer clients and become the successor of the owner.
  */
 export class CellState {
-  /** Creates an empty state. Ended jobs are kept for `retentionMs` of log time. */
+  /** Creates an empty state. Ended jobs are kept for at least `retentionMs`. */
   static create(retentionMs: number): CellState {
     return new CellState(retentionMs);
   }
@@ -39,8 +45,19 @@
   claim: CellOwnerClaim | undefined;
   /** Offset of the next record to apply. */
   nextOffset = 0;
-  /** Latest Unix time in ms that an owner has recorded. */
+  /** Latest Unix time in ms that an owner has recorded. Wall clocks may jump: nothing is decided by it. */
   logTimeMs = 0;
+  /**
+   * Time of the cell in ms: the sum of the times that the owners have counted on their monotonic clocks
+   * while they owned the cell. It never advances faster than true time.
+   */
+  cellTimeMs = 0;
+  /** Time of the cell at which the claim in force was applied. */
+  termStartMs = 0;
+  /** Jobs in `ended` without `retainedFromMs`, in the order of their ends. */
+  private undatedJobs: EndedJob[] = [];
+  /** Offset of the newest claim or renewal; 0 if none was applied since the state was created. */
+  private lastTimeOffset = 0;
 
   private constructor(private readonly retentionMs: number) {}
 
@@ -50,8 +67,10 @@
     this.nextOffset += 1;
     switch (record.kind) {
       case 'claim':
-        this.advanceTime(record.wallMs);
+        this.advanceLogTime(record.wallMs);
         if (record.token <= (this.claim?.token ?? 0)) return false;
+        this.termStartMs = this.cellTimeMs;
+        this.lastTimeOffset = offset;
         this.claim = {
           owner: record.owner,
           address: record.address,
@@ -60,7 +79,8 @@
         };
         return true;
       case 'renew':
-        this.advanceTime(record.wallMs);
+        this.advanceLogTime(record.wallMs);
+        this.applyRenewal(record, offset);
         return true;
       case 'release':
         if (this.claim !== undefined) this.claim = { ...this.claim, released: true };
@@ -131,6 +151,12 @@
     if (!progress.begun && progress.job.firstRunMs === 0) this.adjustPending(progress, 1);
   }
 
+  /** Adds a job that has ended: one that ends now, or one from a snapshot, in the order of their ends. */
+  addEndedJob(id: string, job: EndedJob): void {
+    this.ended.set(id, job);
+    if (job.retainedFromMs === undefined) this.undatedJobs.push(job);
+  }
+
   private acceptJob(job: CellJob, offset: number): boolean {
     if (this.jobs.has(job.id) || this.ended.has(job.id)) return false;
     const occurrences = Array.from({ length: job.occurrences }, () =>
@@ -270,7 +296,13 @@
     });
     if (!progress.begun && progress.job.firstRunMs === 0) this.adjustPending(progress, -1);
     this.jobs.delete(id);
-    this.ended.set(id, { outcome, endedMs: this.logTimeMs, leftovers });
+    this.addEndedJob(id, {
+      outcome,
+      endedMs: this.logTimeMs,
+      endOffset: this.nextOffset - 1,
+      retainedFromMs: undefined,
+      leftovers,
+    });
     return true;
   }
 
@@ -279,13 +311,40 @@
     this.pendingCounts.set(queue, (this.pendingCounts.get(queue) ?? 0) + change);
   }
 
-  /** Advances the log time, and removes the ended jobs whose retention time has passed. */
-  private advanceTime(wallMs: number): void {
-    if (wallMs <= this.logTimeMs) return;
-    this.logTimeMs = wallMs;
+  private advanceLogTime(wallMs: number): void {
+    this.logTimeMs = Math.max(this.logTimeMs, wallMs);
+  }
+
+  /** Advances the time of the cell by the time that the owner has counted. */
+  private applyRenewal(record: Extract<CellRecord, { kind: 'renew' }>, offset: number): void {
+    const { token, termMs, asOfOffset } = record;
+    // An owner of an earlier version sends a renewal after its previous one was acknowledged.
+    if (termMs === undefined || asOfOffset === undefined)
+      this.advanceCellTime(this.cellTimeMs + EARLIER_VERSION_RENEWAL_MS, this.lastTimeOffset);
+    else if (token === this.claim?.token)
+      this.advanceCellTime(this.termStartMs + termMs, asOfOffset);
+    this.lastTimeOffset = offset;
+  }
+
+  /**
+   * Advances the time of the cell to `timeMs`, at which all records before `asOfOffset` were in the log, and
+   * removes the ended jobs whose retention time has passed.
+   */
+  private advanceCellTime(timeMs: number, asOfOffset: number): void {
+    this.cellTimeMs = Math.max(this.cellTimeMs, timeMs);
+    // The renewal before the end would shorten the retention time, by seconds if renewals are late.
+    let datedCount = 0;
+    for (const job of this.undatedJobs) {
+      if (job.endOffset >= asOfOffset) break;
+      job.retainedFromMs = this.cellTimeMs;
+      datedCount += 1;
+    }
+    this.undatedJobs.splice(0, datedCount);
     // The map holds the jobs in the order of their ends, so that the loop begins with the oldest.
-    for (const [id, job] of this.ended) {
-      if (job.endedMs + this.retentionMs > this.logTimeMs) break;
+    for (const [id, { retainedFromMs }] of this.ended) {
+      // Equal times do not show that the whole time has passed, because recorded times are rounded up.
+      if (retainedFromMs === undefined || this.cellTimeMs <= retainedFromMs + this.retentionMs)
+        break;
       this.ended.delete(id);
     }
   }
--- a/packages/cell-state/src/snapshot-codec.ts
+++ b/packages/cell-state/src/snapshot-codec.ts
@@ -12,6 +12,9 @@
 interface SnapshotContent {
   nextOffset: number;
   logTimeMs: number;
+  /** Absent in snapshots of earlier versions, as is `retainedFromMs` of ended jobs. */
+  cellTimeMs?: number;
+  termStartMs?: number;
   claim: CellOwnerClaim | null;
   /**
    * Incarnations of workers. Absent in snapshots of earlier versions, as is `born` of tasks and
@@ -23,6 +26,8 @@
     id: string;
     outcome: EndedJob['outcome'];
     endedMs: number;
+    /** Null for a job that ended after the last time that an owner had recorded. */
+    retainedFromMs?: number | null;
     leftovers: [string, LeftoverRun][];
   }[];
 }
@@ -33,6 +38,8 @@
     const content: SnapshotContent = {
       nextOffset: state.nextOffset,
       logTimeMs: state.logTimeMs,
+      cellTimeMs: state.cellTimeMs,
+      termStartMs: state.termStartMs,
       claim: state.claim ?? null,
       lives: [...state.incarnations],
       jobs: [...state.jobs.values()],
@@ -40,6 +47,7 @@
         id,
         outcome: job.outcome,
         endedMs: job.endedMs,
+        retainedFromMs: job.retainedFromMs ?? null,
         leftovers: [...job.leftovers],
       })),
     };
@@ -51,6 +59,8 @@
     const state = CellState.create(retentionMs);
     state.nextOffset = content.nextOffset;
     state.logTimeMs = content.logTimeMs;
+    state.cellTimeMs = content.cellTimeMs ?? 0;
+    state.termStartMs = content.termStartMs ?? 0;
     state.claim = content.claim ?? undefined;
     for (const [worker, born] of content.lives ?? []) state.incarnations.set(worker, born);
     for (const progress of content.jobs) {
@@ -59,9 +69,16 @@
       if (content.lives === undefined) progress.begun = hasReportedEnd(progress);
       state.addJob(progress);
     }
-    for (const { id, outcome, endedMs, leftovers } of content.ended) {
+    for (const { id, outcome, endedMs, retainedFromMs, leftovers } of content.ended) {
       for (const [, run] of leftovers) fillMissingIncarnation(run);
-      state.ended.set(id, { outcome, endedMs, leftovers: new Map(leftovers) });
+      state.addEndedJob(id, {
+        outcome,
+        endedMs,
+        endOffset: content.nextOffset - 1,
+        // Without it the retention time starts again, since times of earlier versions may be too early.
+        retainedFromMs: retainedFromMs ?? undefined,
+        leftovers: new Map(leftovers),
+      });
     }
     return state;
   },
--- a/packages/cell-types/src/cell-record.ts
+++ b/packages/cell-types/src/cell-record.ts
@@ -9,8 +9,18 @@
 export type CellRecord =
   /** A process becomes the owner, unless an earlier claim has the same or a higher token. */
   | { kind: 'claim'; owner: string; address: string; token: number; wallMs: number }
-  /** The owner is alive. Replicas remove ended jobs by `wallMs`, the Unix time of the owner. */
-  | { kind: 'renew'; wallMs: number }
+  /**
+   * The owner is alive. `wallMs` is its Unix time, `termMs` the time on its monotonic clock since it applied its
+   * claim with this token, rounded up to whole ms. All records before `asOfOffset` were in the log at that time.
+   * Replicas remove ended jobs by `termMs`. Owners of earlier versions record `wallMs` only.
+   */
+  | {
+      kind: 'renew';
+      wallMs: number;
+      token?: number;
+      termMs?: number;
+      asOfOffset?: number;
+    }
   /** The owner gives up ownership; another process may claim it at once. */
   | { kind: 'release' }
   /** A front has accepted a job. */
