Start a job once when its first submission takes effect after the repetition

A caller whose submission has an unknown result repeats it under the key.

Cause: the call ends as append-unknown while its append is still in flight. A delegation that takes effect late is overlooked in the same way, so that two partitions can run the job.

Ruled out by reading: starts that are sent again under the same task (workers report them as known), and keys of requests (a claim without a result is not sent to a runner).

--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -220,3 +220,34 @@
   expect(delegated.isOk && delegated.value).toEqual({ delegatedTo: 'q' });
   expect(ledger.state().jobs.size).toEqual(1);
 });
+
+// Guards against a non-repeatable job that runs twice: its submission has an unknown result and takes effect
+// after the caller has repeated it, so that the journal keeps the first one and ignores the second.
+test('the partition owner starts a job once when a submission takes effect after its repetition was sent', async () => {
+  const { ledger, worker, owner, advance } = createOwner();
+  ledger.lateCommits = 1;
+  const first = await owner.submit(nonRepeatableSpec);
+  expect(first.isErr && first.error.kind).toEqual('append-unknown');
+  const repeated = await owner.submit(nonRepeatableSpec);
+  await advance(500);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  const [jobId] = ledger.state().jobs.keys();
+  expect(repeated.isOk && repeated.value).toEqual({ jobId: jobId ?? '' });
+});
+
+// Guards against a job that runs in two partitions: its delegation has an unknown result and takes effect after
+// the caller has repeated the submission, when the partition has workers again.
+test('the partition owner delegates a repeated job whose delegation took effect late', async () => {
+  const { ledger, worker, owner, advance } = createOwner();
+  const resources = { millicores: 8_000, memoryMib: 8_000, accelerators: {} };
+  const listed = { address: WORKER, rack: 'r', dataCentre: 'd', region: 'g', resources };
+  owner.setWorkers([{ ...listed, leaving: true }]);
+  ledger.lateCommits = 1;
+  const first = await owner.submit(nonRepeatableSpec, 'other');
+  expect(first.isErr && first.error.kind).toEqual('append-unknown');
+  owner.setWorkers([{ ...listed, leaving: false }]);
+  const repeated = await owner.submit(nonRepeatableSpec, 'other');
+  await advance(500);
+  expect(worker.startedTaskIds).toEqual([]);
+  expect(repeated.isOk && repeated.value).toEqual({ delegatedTo: 'other' });
+});
--- a/packages/partition-owner/src/submissions.ts
+++ b/packages/partition-owner/src/submissions.ts
@@ -50,13 +50,12 @@
       return inProgress.digest === digest
         ? markRepeated(await inProgress.result)
         : failWithKeyConflict(spec.key);
-    const earlierDecision = this.findDecision(spec.key);
-    if (earlierDecision !== undefined)
-      return earlierDecision.digest === digest
-        ? Result.ok(earlierDecision.decision)
-        : failWithKeyConflict(spec.key);
+    const earlierDecision = this.repeatDecision(spec.key, digest);
+    if (earlierDecision !== undefined) return earlierDecision;
     const { key } = spec;
-    const decided = this.applyRule(spec, rule);
+    const decided = this.applyRule(spec, rule).then((decision) =>
+      this.confirmDecision(decision, key, digest),
+    );
     const result = decided.finally(() => this.decisionsInProgress.delete(key));
     this.decisionsInProgress.set(key, { digest, result });
     return result;
@@ -74,6 +73,25 @@
     return confirmedJobIds;
   }
 
+  /** Returns the decision about the key that the journal contains; undefined for a new key. */
+  private repeatDecision(key: string, digest: string): DecisionResult | undefined {
+    const earlier = this.findDecision(key);
+    if (earlier === undefined) return undefined;
+    return earlier.digest === digest ? Result.ok(earlier.decision) : failWithKeyConflict(key);
+  }
+
+  /**
+   * Returns the decision that is in force once `decision` is durable. The journal ignores it if an append of an
+   * earlier submission with the key, whose result was unknown, has taken effect in the meantime.
+   */
+  private confirmDecision(decision: DecisionResult, key: string, digest: string): DecisionResult {
+    if (decision.isErr) return decision;
+    const { value } = decision;
+    if (value.kind === 'accepted' && this.options.ledger.state().jobs.has(value.jobId))
+      return decision;
+    return this.repeatDecision(key, digest) ?? decision;
+  }
+
   private findDecision(key: string): { decision: SubmissionDecision; digest: string } | undefined {
     const state = this.options.ledger.state();
     const delegation = state.delegatedJobKeys.get(key);
--- a/packages/partition-owner/src/test-ledger.ts
+++ b/packages/partition-owner/src/test-ledger.ts
@@ -17,6 +17,9 @@
   currentAuthority: 'leased' | 'holding' | 'none' = 'leased';
   /** Number of next commits that take effect and return an unknown result. */
   unknownCommits = 0;
+  /** Number of next commits that return an unknown result and take effect before the commit after them. */
+  lateCommits = 0;
+  private lateEntries: JournalEntry[] = [];
   private readonly journal = createState();
 
   authority(): 'leased' | 'holding' | 'none' {
@@ -35,7 +38,12 @@
     if (this.currentAuthority !== 'leased') {
       return Promise.resolve(Result.err(Failure.create('log-unavailable', 'no lease')));
     }
-    for (const entry of entries) {
+    if (this.lateCommits > 0) {
+      this.lateCommits -= 1;
+      this.lateEntries.push(...entries);
+      return Promise.resolve(Result.err(Failure.create('append-unknown', 'no reply yet')));
+    }
+    for (const entry of [...this.lateEntries.splice(0), ...entries]) {
       this.entries.push(entry);
       applyEntry(this.journal, defaultPolicy, entry);
     }
