Follow all other entries when one entry of a worker is odd

Operators of a similar system saw that one odd entry among those of the workers stopped all machines from following the list. It happens here too: while an entry with port 99999 was there, an owner did not know the workers that are listed after it, saw no removed entries, and started tasks on workers whose drain it had read together with the odd entry. A new owner failed in its start: `record-not-applied ... kind=claim, TypeError: Invalid URL`, and half of its start was left out. No process ended.

Cause: the callbacks for the records of a reload, of a read and for a new owner ran in one loop each. The HTTP pool throws for such an address, and the exception left the loop. The offset of the next read was already advanced, so the rest of the page was lost until the next reload, which failed at the same entry.

`KeyedFollower` now processes each record by itself, also for the configuration, and `WorkerDirectory` passes each entry to a new owner by itself. Whatever throws for one record, the others and the report of all keys follow. The owner creates the client of a new incarnation before it ends the session of the former one.

--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -183,7 +183,12 @@
 
   /** Writes the entry of a worker to the store, as the worker does. */
   publishWorker(entry: WorkerEntry): void {
-    this.store.writeKey('keyed.servers', entry.id, Buffer.from(JSON.stringify(entry)));
+    this.publishText(entry.id, JSON.stringify(entry));
+  }
+
+  /** Writes any text as the entry of a worker to the store, as another program may do. */
+  publishText(id: string, text: string): void {
+    this.store.writeKey('keyed.servers', id, Buffer.from(text));
   }
 
   /** Removes the entry of a worker, as the platform does when the worker has been unreachable for some time. */
@@ -456,13 +461,17 @@
     return ref && this.jobs.get(ref.job)?.steps[ref.step];
   }
 
-  /** Creates the client with which a process calls a worker; it loses calls while the two are disconnected. */
+  /**
+   * Creates the client with which a process calls a worker; it loses calls while the two are disconnected.
+   * Throws for an address that no URL can contain, as an HTTP client does.
+   */
   private connect(
     name: string,
     incarnationName: string,
     clock: PausableClock,
     entry: WorkerEntry,
   ): ReturnType<EmulatedWorker['createClient']> {
+    new URL(`http://${entry.address}`);
     const findClient = (): ReturnType<EmulatedWorker['createClient']> | undefined => {
       const worker = this.workers.get(entry.id);
       const isSameIncarnation = worker?.entry.born === entry.born;
--- a/packages/cell-log/src/keyed-follower.ts
+++ b/packages/cell-log/src/keyed-follower.ts
@@ -2,6 +2,7 @@
 import type { KeyedRecord } from '@acaciahoist/cell-types/keyed-record';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { EventLog } from '@acaciahoist/types/event-log';
+import { RecordFaultLog } from './record-fault-log.js';
 
 interface Options {
   clock: Clock;
@@ -14,15 +15,19 @@
   readIntervalMs: () => number;
   /** Time in ms after which all keys are read again; infinite to never read them again. */
   reloadIntervalMs: () => number;
+  /** Called with each record, and again with each newest record when all keys were read again. */
   onRecord: (record: KeyedRecord) => void;
-  /** The newest record of every key of the topic, after all of them were read. */
-  onReloaded: (records: readonly KeyedRecord[]) => void;
+  /** Called with all keys of the topic, after `onRecord` was called with the newest record of each. */
+  onReloaded?: (keys: ReadonlySet<string>) => void;
 }
 
 /** Pause in ms after a failed read. */
 const RETRY_PAUSE_MS = 150;
 
-/** Follows the newest record of each key of a keyed topic. */
+/**
+ * Follows the newest record of each key of a keyed topic. An exception in a callback for one record is logged
+ * and affects no other record.
+ */
 export class KeyedFollower {
   static create(options: Options): KeyedFollower {
     return new KeyedFollower(options);
@@ -32,10 +37,13 @@
   private isTopicUnavailable = false;
   private nextOffset: number | undefined;
   private lastReloadAtMs = 0;
+  private readonly faultLog: RecordFaultLog;
   /** Ends the pause between two reads. */
   private endPause: () => void = () => undefined;
 
-  private constructor(private readonly options: Options) {}
+  private constructor(private readonly options: Options) {
+    this.faultLog = RecordFaultLog.create(options);
+  }
 
   /** Follows the topic until `stop`. */
   async run(): Promise<void> {
@@ -65,31 +73,31 @@
     this.endPause();
   }
 
-  /**
-   * Reads once; false when the store did not answer. An exception in a callback is only logged, so
-   * that the follower continues to read the topic.
-   */
+  /** Reads once; false when the store did not answer. */
   private async readOrReload(isReloadDue: boolean): Promise<boolean> {
     try {
       return await (this.nextOffset === undefined || isReloadDue ? this.reload() : this.read());
     } catch (error) {
-      const { log, topic } = this.options;
-      log('error', 'record-not-processed', { topic, error: String(error) });
-      return true;
+      // The next read is made after a pause, so that the topic is still followed.
+      this.logFault('', error);
+      return false;
     }
   }
 
   private async reload(): Promise<boolean> {
-    const page = await this.options.store.readNewest(this.options.topic);
+    const { store, topic, onReloaded } = this.options;
+    const page = await store.readNewest(topic);
     if (page === undefined) return false;
     this.nextOffset = page.end;
     this.lastReloadAtMs = this.options.clock.monotonicMs();
-    if (!this.isStopped) this.options.onReloaded(page.records);
+    for (const record of page.records) this.processRecord(record);
+    if (this.isStopped) return true;
+    this.callSafely('', () => onReloaded?.(new Set(page.records.map((record) => record.key))));
     return true;
   }
 
   private async read(): Promise<boolean> {
-    const { store, topic, waitMs, onRecord } = this.options;
+    const { store, topic, waitMs } = this.options;
     const from = this.nextOffset ?? 0;
     const result = await store.read(topic, from, waitMs);
     if (result.kind === 'failed') return false;
@@ -98,15 +106,36 @@
       return true;
     }
     this.nextOffset = from + result.records.length;
-    for (const data of result.records) {
-      const record = store.decodeKeyed(data);
-      if (record === undefined)
-        this.options.log('warn', 'record-unreadable', { topic, bytes: data.byteLength });
-      else if (!this.isStopped) onRecord(record);
-    }
+    for (const [index, data] of result.records.entries())
+      this.callSafely(`offset ${from + index}`, () => {
+        const record = store.decodeKeyed(data);
+        if (record === undefined)
+          this.options.log('warn', 'record-unreadable', { topic, bytes: data.byteLength });
+        else this.processRecord(record);
+      });
     return true;
   }
 
+  private processRecord(record: KeyedRecord): void {
+    if (this.isStopped) return;
+    this.callSafely(record.key, () => {
+      this.options.onRecord(record);
+    });
+  }
+
+  private callSafely(key: string, callback: () => void): void {
+    try {
+      callback();
+    } catch (error) {
+      this.logFault(key, error);
+    }
+  }
+
+  private logFault(key: string, error: unknown): void {
+    const { topic } = this.options;
+    this.faultLog.write(key, 'error', 'record-not-processed', { topic, key, error: String(error) });
+  }
+
   private logAvailability(isSuccessful: boolean): void {
     if (isSuccessful !== this.isTopicUnavailable) return;
     this.isTopicUnavailable = !isSuccessful;
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -158,13 +158,14 @@
 
   /** Handles the published entry of a worker, new or changed. */
   updateWorker(entry: WorkerEntry): void {
-    const currentSession = this.sessions.get(entry.id);
-    if (currentSession !== undefined && currentSession.entry.born > entry.born) return;
-    if (currentSession !== undefined && currentSession.entry.born < entry.born)
-      this.endIncarnation(currentSession, 'a newer incarnation has published an entry');
     const session = this.sessions.get(entry.id);
-    if (session === undefined) {
-      this.connect(entry);
+    if (session !== undefined && session.entry.born > entry.born) return;
+    if (session === undefined || session.entry.born < entry.born) {
+      // An entry to which no client can connect must not end the current session.
+      const client = this.options.connect(entry);
+      if (session !== undefined)
+        this.endIncarnation(session, 'a newer incarnation has published an entry');
+      this.openSession(entry, client);
       return;
     }
     if (session.entry.draining !== entry.draining)
@@ -249,12 +250,12 @@
   }
 
   /** Creates the session for the entry; its hold calls start with one of the next batches. */
-  private connect(entry: WorkerEntry): void {
+  private openSession(entry: WorkerEntry, client: WorkerClient): void {
     const { clock, log, token, lastAppendAgeMs, loopDelayMs } = this.options;
     const session = WorkerSession.create({
       clock,
       entry,
-      client: this.options.connect(entry),
+      client,
       token,
       mayExtendLeases: () => lastAppendAgeMs() < limits.maxAppendAgeForLeaseMs,
       loopDelayMs,
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -324,9 +324,6 @@
       onRecord: (record) => {
         this.applyConfiguration(record.key, record.value);
       },
-      onReloaded: (records) => {
-        for (const record of records) this.applyConfiguration(record.key, record.value);
-      },
     });
   }
 
--- a/packages/cell-process/src/worker-directory.ts
+++ b/packages/cell-process/src/worker-directory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
 import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
+import { RecordFaultLog } from '@acaciahoist/cell-log/record-fault-log';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import type { EventLog } from '@acaciahoist/types/event-log';
@@ -47,7 +48,11 @@
   private listener: EntryListener | undefined;
   private follower: KeyedFollower | undefined;
 
-  private constructor(private readonly options: Options) {}
+  private readonly faultLog: RecordFaultLog;
+
+  private constructor(private readonly options: Options) {
+    this.faultLog = RecordFaultLog.create(options);
+  }
 
   /** Starts to follow the entries; does nothing if they are followed already. */
   startFollowing(): void {
@@ -66,10 +71,8 @@
       onRecord: (record) => {
         this.applyEntry(record.key, record.value);
       },
-      onReloaded: (records) => {
-        const ids = new Set(records.map((record) => record.key));
+      onReloaded: (ids) => {
         for (const id of this.entries.keys()) if (!ids.has(id)) this.entries.delete(id);
-        for (const record of records) this.applyEntry(record.key, record.value);
         this.listener?.onReloaded(ids);
       },
     });
@@ -90,7 +93,7 @@
   attach(listener: EntryListener): void {
     this.startFollowing();
     this.listener = listener;
-    for (const entry of this.entries.values()) listener.onEntry(entry);
+    for (const entry of this.entries.values()) this.passEntry(entry);
     this.follower?.reloadNow();
   }
 
@@ -105,13 +108,33 @@
       this.listener?.onRemoved(id);
       return;
     }
-    const entry = this.options.decode(id, value);
-    if (entry === undefined) {
-      const { log } = this.options;
-      log('warn', 'worker-entry-unreadable', { worker: id, bytes: value.byteLength });
-      return;
-    }
+    const entry = this.decode(id, value);
+    if (entry === undefined) return;
     this.entries.set(id, entry);
-    this.listener?.onEntry(entry);
+    this.passEntry(entry);
+  }
+
+  /** Decodes an entry; logs one that is unreadable and returns undefined. */
+  private decode(id: string, value: Uint8Array): WorkerEntry | undefined {
+    let error = 'malformed';
+    try {
+      const entry = this.options.decode(id, value);
+      if (entry !== undefined) return entry;
+    } catch (thrown) {
+      error = String(thrown);
+    }
+    const bytes = value.byteLength;
+    this.faultLog.write(id, 'warn', 'worker-entry-unreadable', { worker: id, bytes, error });
+    return undefined;
+  }
+
+  /** Passes an entry to the listener. An entry for which it throws affects no other worker. */
+  private passEntry(entry: WorkerEntry): void {
+    try {
+      this.listener?.onEntry(entry);
+    } catch (thrown) {
+      const fields = { worker: entry.id, address: entry.address, error: String(thrown) };
+      this.faultLog.write(entry.id, 'error', 'worker-entry-not-used', fields);
+    }
   }
 }
