Fail a call to an invalid peer address instead of throwing

Callers would see: a process that read an address with a port out of range from the owner hint, or heard it as the address of an owner, a standby or another process, ends by itself after a few seconds.

Cause: `new WebSocket` throws for an address that is no URL. The exception left `PeerClient.call` as a rejected promise, while its callers handle failed results only. Each call became an unhandled rejection; calls are made every 300 ms, and more than ten within 10 s end the process. The link also stayed in the state `connecting`, and `PeerTracker.contactOwner` never called the owner again.

Evidence: the new test failed on the code before with "SyntaxError: Invalid URL: ws://127.0.0.1:99999", thrown out of `PeerClient.call`.

Fix: the link treats the exception as a failed attempt to connect, so that the call fails as not sent and the next call tries again.

--- a/packages/peer-socket/src/peer-client.test.ts
+++ b/packages/peer-socket/src/peer-client.test.ts
@@ -98,6 +98,18 @@
   expect(refused).toEqual([address]);
 });
 
+// Guards against a process that ends because another one named an address with a port out of range: the call
+// threw, and its callers handle failed calls only. After more than ten unexpected errors in 10 s a process ends.
+test('the peer client fails a call as not sent when the address is not valid', async () => {
+  const client = createClient();
+  for (const address of ['127.0.0.1:99999', '999.0.0.1:80', 'a b:80', '', '127.0.0.1:80#x']) {
+    for (let attempt = 0; attempt < 2; attempt += 1) {
+      const reply = await client.call(address, 'read-configuration', {}, 200);
+      expect(reply.isErr && reply.error.kind).toEqual('owner-unreachable');
+    }
+  }
+});
+
 // Guards against calls that hang after a network device dropped a connection: the socket stays open but
 // delivers nothing.
 test('the peer client reports the outstanding call as unknown and replaces the connection when it becomes silent', async () => {
--- a/packages/peer-socket/src/peer-link.ts
+++ b/packages/peer-socket/src/peer-link.ts
@@ -104,12 +104,17 @@
 
   private connect(): void {
     this.machine.send({ type: 'OPEN' });
-    const connection = this.openConnection(() => {
-      this.machine.send({ type: 'OPENED' });
-      this.resolveOpenWaiters(true);
-      this.scheduleProbe();
-    });
-    this.current = connection;
+    try {
+      this.current = this.openConnection(() => {
+        this.machine.send({ type: 'OPENED' });
+        this.resolveOpenWaiters(true);
+        this.scheduleProbe();
+      });
+    } catch {
+      // `WebSocket` throws for an invalid address; the failure of the call names the address.
+      this.machine.send({ type: 'FAILED' });
+      this.resolveOpenWaiters(false);
+    }
   }
 
   private openConnection(onOpen: () => void): PeerConnection {
