Move the checks of received values to the shared types

`findShapeError` checks messages between processes.

New shapes: whole numbers, numbers with a lower bound, and tuples.

--- a/packages/peer-protocol/src/frame-codec.ts
+++ b/packages/peer-protocol/src/frame-codec.ts
@@ -3,7 +3,7 @@
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import { Failure } from '@acaciahoist/errors';
 import type { PeerFrame } from '@acaciahoist/types/peer-frame';
-import { findShapeError } from './find-shape-error.js';
+import { findShapeError } from '@acaciahoist/types/find-shape-error';
 import { frameShape } from './frame-shape.js';
 import { isPeerCallType } from './is-peer-call-type.js';
 import { requestShapes } from './request-shapes.js';
--- a/packages/peer-protocol/src/frame-shape.ts
+++ b/packages/peer-protocol/src/frame-shape.ts
@@ -1,4 +1,4 @@
-import { shapes } from './shapes.js';
+import { shapes } from '@acaciahoist/types/shapes';
 
 /** Shape that all frames have; the body depends on the call type. */
 export const frameShape = shapes.object({
--- a/packages/peer-protocol/src/outstanding-calls.ts
+++ b/packages/peer-protocol/src/outstanding-calls.ts
@@ -5,7 +5,7 @@
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import type { PeerFrame } from '@acaciahoist/types/peer-frame';
 import type { ProcessIdentity } from '@acaciahoist/types/process-identity';
-import { findShapeError } from './find-shape-error.js';
+import { findShapeError } from '@acaciahoist/types/find-shape-error';
 import { isPeerCallType } from './is-peer-call-type.js';
 import type { PeerCallType } from './peer-call-type.js';
 import { replyShapes } from './reply-shapes.js';
--- a/packages/peer-protocol/src/parse-failure.ts
+++ b/packages/peer-protocol/src/parse-failure.ts
@@ -1,8 +1,8 @@
 import { Failure } from '@acaciahoist/errors';
 import { answers } from '@acaciahoist/errors/answers';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
-import { findShapeError } from './find-shape-error.js';
-import { shapes } from './shapes.js';
+import { findShapeError } from '@acaciahoist/types/find-shape-error';
+import { shapes } from '@acaciahoist/types/shapes';
 
 const failureShape = shapes.object({ kind: shapes.string, message: shapes.string });
 
--- a/packages/peer-protocol/src/reply-shapes.test.ts
+++ b/packages/peer-protocol/src/reply-shapes.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { findShapeError } from './find-shape-error.js';
+import { findShapeError } from '@acaciahoist/types/find-shape-error';
 import { replyShapes } from './reply-shapes.js';
 
 function findReplyError(type: keyof typeof replyShapes, body: unknown): string | undefined {
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -1,6 +1,6 @@
 import type { PeerCallType } from './peer-call-type.js';
-import type { Shape } from './shape.js';
-import { shapes } from './shapes.js';
+import type { Shape } from '@acaciahoist/types/shape';
+import { shapes } from '@acaciahoist/types/shapes';
 
 const { string, number, boolean, bytes, any, nullable, optional, list, object } = shapes;
 
--- a/packages/peer-protocol/src/shape.ts
+++ b/packages/types/src/shape.ts
@@ -1,12 +1,16 @@
-/** Description of a valid message body, which `findShapeError` checks. `max` limits a length. */
+/** Description of a valid value, which `findShapeError` checks. `max` of a text or a list limits its length. */
 export type Shape =
   | { type: 'string'; max?: number }
-  | { type: 'number' }
+  /** A finite number, not below `min`. */
+  | { type: 'number'; min?: number }
+  /** A whole number that is represented exactly. */
+  | { type: 'integer'; min: number }
   | { type: 'boolean' }
   | { type: 'bytes' }
   | { type: 'any' }
   | { type: 'optional'; of: Shape }
   | { type: 'nullable'; of: Shape }
   | { type: 'list'; of: Shape; max: number }
+  | { type: 'tuple'; items: readonly Shape[] }
   | { type: 'oneOf'; values: readonly string[] }
   | { type: 'object'; fields: Readonly<Record<string, Shape>> };
--- a/packages/peer-protocol/src/shapes.ts
+++ b/packages/types/src/shapes.ts
@@ -14,9 +14,12 @@
   bytes,
   any,
   text: (max: number): Shape => ({ type: 'string', max }),
+  numberFrom: (min: number): Shape => ({ type: 'number', min }),
+  integerFrom: (min: number): Shape => ({ type: 'integer', min }),
   optional: (of: Shape): Shape => ({ type: 'optional', of }),
   nullable: (of: Shape): Shape => ({ type: 'nullable', of }),
   list: (of: Shape, max: number): Shape => ({ type: 'list', of, max }),
+  tuple: (...items: Shape[]): Shape => ({ type: 'tuple', items }),
   oneOf: (...values: string[]): Shape => ({ type: 'oneOf', values }),
   object: (fields: Readonly<Record<string, Shape>>): Shape => ({ type: 'object', fields }),
 };
