--- a/packages/cell-log/src/cell-replica.test.ts
+++ b/packages/cell-log/src/cell-replica.test.ts
@@ -4,6 +4,7 @@
 import { CellState } from '@acaciahoist/cell-state';
 import type { ReadResult } from '@acaciahoist/cell-types/read-result';
 import { CellReplica } from './cell-replica.js';
+import { SnapshotStore } from './snapshot-store.js';
 
 /** Result of a waiting read that got no records, with its age in ms. */
 const createEmptyResult = (ageMs: number): ReadResult => ({
@@ -15,7 +16,11 @@
 });
 
 /** Creates a replica whose reads are answered by the test. */
-function create() {
+function create(
+  snapshots: Pick<SnapshotStore, 'read'> = {
+    read: () => Promise.resolve(CellState.create(1_000)),
+  },
+) {
   const clock = ManualClock.create(1_000_000);
   const answers: ((result: ReadResult) => void)[] = [];
   const read = (): Promise<ReadResult> => new Promise((resolve) => answers.push(resolve));
@@ -23,7 +28,7 @@
     clock,
     store: { read },
     readLog: read,
-    snapshots: { read: () => Promise.resolve(CellState.create(1_000)) },
+    snapshots,
     log: () => undefined,
     topic: 'cell',
     retentionMs: 1_000,
@@ -91,3 +96,27 @@
   expect(replica.ageMs()).toEqual(40);
   replica.stop();
 });
+
+// Guards against a process that never follows the log again because it once read a snapshot that another writer
+// damaged, although the owner replaces it.
+test('the replica loads the next snapshot after one that cannot be read', async () => {
+  let head: Uint8Array | undefined = Buffer.from([0xc1]);
+  const snapshots = SnapshotStore.create({
+    topic: 'keyed.cell',
+    log: () => undefined,
+    store: {
+      readNewest: () => Promise.resolve({ end: 1, records: [{ key: 'head', value: head }] }),
+      encodeKeyed: () => Buffer.alloc(0),
+    },
+  });
+  const { clock, replica } = create(snapshots);
+  let hasEnded = false;
+  void replica.run().finally(() => (hasEnded = true));
+  await flushCallbacks();
+  expect([replica.isLoaded, hasEnded]).toEqual([false, false]);
+  head = undefined;
+  clock.advance(200);
+  await flushCallbacks();
+  expect([replica.isLoaded, hasEnded]).toEqual([true, false]);
+  replica.stop();
+});
--- a/packages/cell-log/src/snapshot-store.test.ts
+++ b/packages/cell-log/src/snapshot-store.test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { deflateSync } from 'node:zlib';
 import { expect } from 'earl';
 import { Packr } from 'msgpackr';
 import { plainStep } from '@acaciahoist/cell-types/plain-step';
@@ -7,14 +8,17 @@
 import { Random } from '@acaciahoist/random';
 import { SnapshotStore } from './snapshot-store.js';
 
-function create(values: Map<string, Uint8Array | undefined>): {
+function create(
+  values: Map<string, Uint8Array | undefined>,
+  events: string[] = [],
+): {
   snapshots: SnapshotStore;
   append: (records: Uint8Array[]) => Promise<'appended'>;
 } {
   const encodedRecords = new Map<Uint8Array, KeyedRecord>();
   const snapshots = SnapshotStore.create({
     topic: 'keyed.cell',
-    log: () => undefined,
+    log: (_level, event) => events.push(event),
     store: {
       readNewest: () =>
         Promise.resolve({ end: 0, records: [...values].map(([key, value]) => ({ key, value })) }),
@@ -159,3 +163,67 @@
   );
   expect((await snapshots.read(empty, 1_000))?.nextOffset).toEqual(7);
 });
+
+const packr = new Packr({ useRecords: false });
+const emptyContent = { nextOffset: 7, logTimeMs: 5, claim: null, jobs: [], ended: [] };
+/** An array that contains another one, 100,000 levels deep. */
+const deepArray = Buffer.concat([Buffer.alloc(100_000, 0x91), Buffer.from([0xc0])]);
+
+/** Keys and values of a snapshot topic whose only part holds the bytes. */
+function createTopic(
+  bytes: Uint8Array,
+  head: Record<string, unknown> = {},
+): [string, Uint8Array][] {
+  return [
+    ['head', packr.pack({ slot: 'a', chunks: 1, offset: 7, isCompressed: true, ...head })],
+    ['a.0', packr.pack({ offset: 7, part: bytes })],
+  ];
+}
+
+// Guards against a process that never follows the log because the snapshot was not written by this system, and
+// against an empty or partial state that is taken for that of the cell: accepted jobs would be unknown.
+for (const [name, values] of Object.entries<[string, Uint8Array][]>({
+  'a head that is not msgpack': [['head', Buffer.from([0xc1])]],
+  'a head that is null': [['head', packr.pack(null)]],
+  'a deeply nested head': [['head', deepArray]],
+  'a head without parts': [['head', packr.pack({ slot: 'a', chunks: 0, offset: 7 })]],
+  'a head with a number of parts that is no number': [
+    ['head', packr.pack({ slot: 'a', chunks: Number.NaN, offset: 7 })],
+  ],
+  'a part that is not msgpack': [...createTopic(Buffer.alloc(0)), ['a.0', Buffer.from([0xc1])]],
+  'a part without bytes': [
+    ...createTopic(Buffer.alloc(0)),
+    ['a.0', packr.pack({ offset: 7, part: 5 })],
+  ],
+  'parts that are not compressed': createTopic(Buffer.from('not compressed')),
+  'parts that end early': createTopic(deflateSync(packr.pack(emptyContent)).subarray(0, 20)),
+  'compressed text': createTopic(deflateSync(Buffer.from('text'))),
+  'a deeply nested content': createTopic(deflateSync(deepArray)),
+  'a content of 256 MiB': createTopic(deflateSync(Buffer.alloc(2 ** 28), { level: 1 })),
+  'the content of another offset': createTopic(
+    deflateSync(packr.pack({ ...emptyContent, nextOffset: 6 })),
+  ),
+  'a time that is no number': createTopic(
+    deflateSync(packr.pack({ ...emptyContent, cellTimeMs: Number.NaN })),
+  ),
+  'an ended job without an outcome': createTopic(
+    deflateSync(
+      packr.pack({
+        ...emptyContent,
+        ended: [{ id: 'a', endedMs: 0, leftovers: [] }],
+      }),
+    ),
+  ),
+  'a job without steps': createTopic(
+    deflateSync(
+      packr.pack({ ...emptyContent, jobs: [{ job: {}, offset: 1, occurrences: [], begun: true }] }),
+    ),
+  ),
+}))
+  test(`the snapshot store reads nothing and logs once when the topic has ${name}`, async () => {
+    const events: string[] = [];
+    const { snapshots } = create(new Map(values), events);
+    for (let attempt = 0; attempt < 3; attempt += 1)
+      expect(await snapshots.read(empty, 1_000)).toEqual(undefined);
+    expect(events.length).toEqual(1);
+  });
--- a/packages/cell-state/src/snapshot-codec.ts
+++ b/packages/cell-state/src/snapshot-codec.ts
@@ -1,9 +1,11 @@
 import { Packr } from 'msgpackr';
+import { findShapeError } from '@acaciahoist/types/find-shape-error';
 import type { CellOwnerClaim } from './cell-owner-claim.js';
 import type { EndedJob } from './ended-job.js';
 import { CellState } from './cell-state.js';
 import type { JobProgress } from './job-progress.js';
 import type { LeftoverRun } from './leftover-run.js';
+import { snapshotShape } from './snapshot-shape.js';
 
 // With `useRecords`, a snapshot holds each set of field names once. Earlier versions wrote maps
 // that hold the names in every object; unpacking reads both.
@@ -54,8 +56,12 @@
     return packr.pack(content);
   },
 
+  /** Throws for bytes that are not a snapshot. */
   decode(data: Uint8Array, retentionMs: number): CellState {
-    const content = packr.unpack(data) as SnapshotContent;
+    const value: unknown = packr.unpack(data);
+    const shapeError = findShapeError(snapshotShape, value, 'snapshot');
+    if (shapeError !== undefined) throw new Error(shapeError);
+    const content = value as SnapshotContent;
     const state = CellState.create(retentionMs);
     state.nextOffset = content.nextOffset;
     state.logTimeMs = content.logTimeMs;
