--- a/packages/cell-emulator/src/job-retention.test.ts
+++ b/packages/cell-emulator/src/job-retention.test.ts
@@ -120,6 +120,31 @@
     for (const id of cell.acceptedJobs) expect(process.jobStateOf(id)).toEqual(undefined);
 });
 
+// Guards against the same answer, for good, at a process that starts when the store has just dropped the record
+// of the job: the newest snapshot does not have the job yet, and the owner writes the next one within seconds.
+test('a process that starts just after the store has dropped old records knows every job', async () => {
+  const cell = await startCell(37);
+  const started = findOtherProcess(cell);
+  cell.killProcess(started);
+  // The other processes serve no records, so that the started one reads the store.
+  cell.peers.chooseFault = (_caller, _callee, type) =>
+    type === 'read-log' ? CallFault.refused : CallFault.none;
+  for (let number = 1; number <= 45; number += 1) {
+    void cell.submit(createJob(number, [{ estimateMs: 20_000 }]), cell.findOwnerName() ?? '');
+    await cell.advance(100);
+  }
+  cell.store.expireTopics(cell.clock.monotonicMs());
+  await cell.startProcess(started);
+  const process = cell.processes.find(({ name }) => name === started)?.process;
+  await advanceWithQueries(cell, 1_000);
+  expect(process?.isReady()).toEqual(false);
+  await advanceWithQueries(cell, 9_000);
+  expect(cell.acceptedJobs.size).toEqual(45);
+  expect(cell.listViolations()).toEqual([]);
+  expect(process?.isReady()).toEqual(true);
+  for (const id of cell.acceptedJobs) expect(process?.jobStateOf(id)).not.toEqual(undefined);
+});
+
 /** Faults that delay renewals, replace the owner or move its wall clock. */
 const RETENTION_FAULTS = [
   'kill-owner',
--- a/packages/cell-log/src/cell-replica.test.ts
+++ b/packages/cell-log/src/cell-replica.test.ts
@@ -23,13 +23,14 @@
 ) {
   const clock = ManualClock.create(1_000_000);
   const answers: ((result: ReadResult) => void)[] = [];
+  const events: string[] = [];
   const read = (): Promise<ReadResult> => new Promise((resolve) => answers.push(resolve));
   const replica = CellReplica.create({
     clock,
     store: { read },
     readLog: read,
     snapshots,
-    log: () => undefined,
+    log: (_level, event) => events.push(event),
     topic: 'cell',
     retentionMs: 1_000,
     readIntervalMs: () => 0,
@@ -39,6 +40,7 @@
   return {
     clock,
     replica,
+    events,
     answer: async (result: ReadResult) => {
       answers.shift()?.(result);
       await flushCallbacks();
@@ -120,3 +122,98 @@
   expect([replica.isLoaded, hasEnded]).toEqual([true, false]);
   replica.stop();
 });
+
+/**
+ * Plays a replica whose snapshot ends at offset 5 while the log retains records from offset 10 on. Every
+ * 100 ms until `durationMs` have passed, `play` sets the offset of the newest snapshot and the end of the log.
+ */
+async function playExpiredLog(
+  durationMs: number,
+  play: (atMs: number) => { snapshot: number; end: number },
+) {
+  let newest = play(0);
+  const clock = ManualClock.create(1_000_000);
+  const events: string[] = [];
+  const read = (_topic: string, from: number, waitMs: number): Promise<ReadResult> => {
+    if (from < 10) return Promise.resolve({ kind: 'expired', first: 10 });
+    const result: ReadResult = {
+      kind: 'records',
+      end: newest.end,
+      first: 10,
+      records: Array.from({ length: Math.max(0, newest.end - from) }, () => Buffer.from('x')),
+      ageMs: 0,
+    };
+    return new Promise((resolve) =>
+      clock.after(waitMs, () => {
+        resolve(result);
+      }),
+    );
+  };
+  const replica = CellReplica.create({
+    clock,
+    store: { read },
+    readLog: read,
+    snapshots: {
+      read: () => {
+        const state = CellState.create(1_000);
+        state.nextOffset = newest.snapshot;
+        return Promise.resolve(state);
+      },
+    },
+    log: (_level, event) => events.push(event),
+    topic: 'cell',
+    retentionMs: 1_000,
+    readIntervalMs: () => 80,
+    onApplied: () => undefined,
+    onReloaded: () => undefined,
+  });
+  void replica.run();
+  /** Times at which the replica was loaded and had reached the end of the log recently. */
+  const servedAtMs: number[] = [];
+  for (let atMs = 0; atMs < durationMs; atMs += 100) {
+    newest = play(atMs);
+    await flushCallbacks();
+    clock.advance(100);
+    await flushCallbacks();
+    if (replica.isLoaded && replica.contactAgeMs() < 1_000) servedAtMs.push(atMs);
+  }
+  replica.stop();
+  return {
+    events,
+    firstServedAtMs: servedAtMs[0] ?? Number.POSITIVE_INFINITY,
+    nextOffset: replica.state.nextOffset,
+  };
+}
+
+// Guards against "no such job" for accepted jobs, for good: a process that starts just after the store has
+// dropped old records read a snapshot before them and went on without them, while the owner was about to write
+// a snapshot that has them.
+test('the replica waits for a snapshot that reaches the first retained record while the log grows', async () => {
+  const { events, firstServedAtMs, nextOffset } = await playExpiredLog(8_000, (atMs) => ({
+    snapshot: atMs < 4_000 ? 5 : 20,
+    end: 12 + Math.floor(atMs / 250),
+  }));
+  expect(events).not.toInclude('records-lost');
+  expect(firstServedAtMs).toBeGreaterThanOrEqual(4_000);
+  expect(firstServedAtMs).toBeLessThan(5_000);
+  expect(nextOffset).toBeGreaterThan(20);
+});
+
+// Guards against a cell that stays without an owner because all processes wait for a snapshot that none writes.
+test('the replica goes on without expired records and logs it when the log has not grown for 3 s', async () => {
+  const { events, firstServedAtMs } = await playExpiredLog(6_000, () => ({ snapshot: 5, end: 10 }));
+  expect(events).toInclude('records-lost');
+  expect(firstServedAtMs).toBeGreaterThanOrEqual(2_500);
+  expect(firstServedAtMs).toBeLessThan(4_000);
+});
+
+// Guards against a process that waits forever for a snapshot that the owner fails to write.
+test('the replica goes on without expired records and logs it when no snapshot has them for 10 s', async () => {
+  const { events, firstServedAtMs } = await playExpiredLog(13_000, (atMs) => ({
+    snapshot: 5,
+    end: 12 + Math.floor(atMs / 250),
+  }));
+  expect(events).toInclude('records-lost');
+  expect(firstServedAtMs).toBeGreaterThanOrEqual(9_500);
+  expect(firstServedAtMs).toBeLessThan(11_500);
+});
--- a/packages/cell-log/src/cell-replica.ts
+++ b/packages/cell-log/src/cell-replica.ts
@@ -7,6 +7,7 @@
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { RecentRecords } from './recent-records.js';
 import type { SnapshotStore } from './snapshot-store.js';
+import { SnapshotWait } from './snapshot-wait.js';
 
 interface Options {
   clock: Clock;
@@ -24,7 +25,10 @@
   readIntervalMs: () => number;
   /** A record was applied; `isEffective` is false when it had no effect. */
   onApplied: (record: CellRecord, isEffective: boolean, offset: number) => void;
-  /** The state was replaced by that of a snapshot, without a call of `onApplied`. */
+  /**
+   * The state was replaced by that of a snapshot, without a call of `onApplied`, or must be because
+   * the log no longer has the next record.
+   */
   onReloaded: () => void;
 }
 
@@ -37,6 +41,11 @@
 const ADDITIONAL_READ_DELAY_MS = 50;
 /** Pause in ms after a failed read. */
 const RETRY_PAUSE_MS = 100;
+/**
+ * Pause in ms between two reads of the snapshot while the replica waits for a newer one; a snapshot
+ * of a large cell has a megabyte.
+ */
+const SNAPSHOT_POLL_PAUSE_MS = 500;
 
 /** Keeps a replica of the cell up to date by reading the cell log. */
 export class CellReplica {
@@ -58,6 +67,8 @@
   private readonly recentRecords = RecentRecords.create();
   private waiters: { offset: number; resolve: (isReached: boolean) => void }[] = [];
   private isFollowing = true;
+  /** Present after records that the replica needs have expired, until a snapshot has them. */
+  private snapshotWait: SnapshotWait | undefined;
   /** Ends the wait of `run` for `resume` or `stop`. */
   private endPause: () => void = () => undefined;
 
@@ -88,7 +99,7 @@
         continue;
       }
       if (!this.isLoaded) {
-        await this.load(0);
+        await this.load();
         continue;
       }
       const sentAtMs = this.options.clock.monotonicMs();
@@ -114,9 +125,8 @@
   /** Stops following the log. From then on the age of the replica is infinite. */
   pause(): void {
     this.isFollowing = false;
-    this.isLoaded = false;
-    this.currentAsOf = this.createUnknownInstant();
-    this.lastContactAtMs = Number.NEGATIVE_INFINITY;
+    this.unload();
+    this.snapshotWait = undefined;
     this.appended.clear();
   }
 
@@ -185,37 +195,59 @@
   }
 
   /**
-   * Loads the snapshot, or keeps the current state if it is newer than the snapshot and has reached
-   * `minOffset`.
+   * Loads the snapshot, or keeps the current state if it is newer. After records have expired, waits
+   * for one of them to have these records while that is to be expected.
    */
-  private async load(minOffset: number): Promise<void> {
-    const { log, retentionMs } = this.options;
+  private async load(): Promise<void> {
+    const { snapshots, retentionMs } = this.options;
     while (!this.isStopped && !this.isPaused()) {
-      const state = await this.options.snapshots.read(
-        () => CellState.create(retentionMs),
-        retentionMs,
-      );
+      const state = await snapshots.read(() => CellState.create(retentionMs), retentionMs);
       if (this.isPaused()) return;
-      if (state !== undefined && state.nextOffset >= this.state.nextOffset) {
-        this.state = state;
-        this.isLoaded = true;
-        log('info', 'snapshot-loaded', {
-          offset: state.nextOffset,
-          jobs: state.jobs.size,
-          endedJobs: state.ended.size,
-          cellTimeMs: state.cellTimeMs,
-        });
-        this.options.onReloaded();
-        return;
+      if (state === undefined) {
+        await this.pauseFor(RETRY_PAUSE_MS);
+        continue;
       }
-      if (state !== undefined && this.state.nextOffset >= minOffset) {
-        this.isLoaded = true;
-        return;
+      const offset = Math.max(state.nextOffset, this.state.nextOffset);
+      const wait = this.snapshotWait;
+      if (wait !== undefined && offset < wait.requiredOffset && (await wait.isSnapshotExpected())) {
+        await this.pauseFor(SNAPSHOT_POLL_PAUSE_MS);
+        continue;
       }
-      await this.pauseFor(RETRY_PAUSE_MS);
+      if (this.isPaused()) return;
+      this.adopt(state);
+      if (wait !== undefined) this.skipTo(wait.requiredOffset);
+      this.snapshotWait = undefined;
+      this.isLoaded = true;
+      return;
     }
   }
 
+  /** Replaces the state by that of a snapshot unless the current one is newer. */
+  private adopt(state: CellState): void {
+    if (state.nextOffset < this.state.nextOffset) return;
+    this.state = state;
+    this.options.log('info', 'snapshot-loaded', {
+      offset: state.nextOffset,
+      jobs: state.jobs.size,
+      endedJobs: state.ended.size,
+      cellTimeMs: state.cellTimeMs,
+    });
+    this.options.onReloaded();
+  }
+
+  /** Continues at the offset without the expired records before it, if the state lacks them. */
+  private skipTo(first: number): void {
+    if (this.state.nextOffset >= first) return;
+    this.options.log('error', 'records-lost', { next: this.state.nextOffset, first });
+    this.state.nextOffset = first;
+  }
+
+  private unload(): void {
+    this.isLoaded = false;
+    this.currentAsOf = this.createUnknownInstant();
+    this.lastContactAtMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Reads and applies records once. False when the next read should follow without a pause. */
   private async readOnce(waitMs: number): Promise<boolean> {
     const { readLog, topic, log } = this.options;
@@ -235,7 +267,7 @@
     if (this.isLogUnavailable) log('info', 'cell-log-available', { offset: this.state.nextOffset });
     this.isLogUnavailable = false;
     if (result.kind === 'expired') {
-      if (this.state.nextOffset < result.first) await this.skipExpired(result.first);
+      if (this.state.nextOffset < result.first) this.reloadExpired(result.first);
       return false;
     }
     const asOf = Instant.create(this.options.clock, result.ageMs);
@@ -294,14 +326,13 @@
     }
   }
 
-  /** Continues from a snapshot when the log no longer has the next record. */
-  private async skipExpired(first: number): Promise<void> {
-    const { log } = this.options;
+  /** Makes `run` load a snapshot, because the log no longer has the next record. */
+  private reloadExpired(first: number): void {
+    const { clock, store, topic, log } = this.options;
     log('warn', 'cell-log-expired', { next: this.state.nextOffset, first });
-    await this.load(first);
-    if (this.state.nextOffset >= first || this.isPaused()) return;
-    log('error', 'records-lost', { next: this.state.nextOffset, first });
-    this.state.nextOffset = first;
+    this.unload();
+    this.snapshotWait = SnapshotWait.create({ clock, store, topic, first });
+    this.options.onReloaded();
   }
 
   private resolveWaiters(): void {
