--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -102,6 +102,12 @@
   maxLingerMs: 40,
   /** Interval of snapshots of the cell state: well below the 20 s for which the log retains records. */
   snapshotIntervalMs: 4_000,
+  /**
+   * Delay of the first snapshot of an owner after its claim, long enough that its first starts precede it.
+   * The newest snapshot may be almost an interval old by then, and the owner may be replaced before another
+   * interval has passed.
+   */
+  firstSnapshotDelayMs: 500,
   /**
    * A worker still gets starts for this time after its entry was removed, as entries reappear within 2 s.
    */
--- a/packages/cell-process/src/owner-writer.ts
+++ b/packages/cell-process/src/owner-writer.ts
@@ -81,10 +81,10 @@
   /** Starts the renewals of the claim and the snapshots. */
   start(): void {
     this.options.snapshots.setWriter(`${this.options.token}`);
-    this.scheduleRepeat(0, limits.renewMs, () => {
+    this.scheduleRepeat(0, limits.renewMs, limits.renewMs, () => {
       void this.renew();
     });
-    this.scheduleRepeat(1, limits.snapshotIntervalMs, () => {
+    this.scheduleRepeat(1, limits.firstSnapshotDelayMs, limits.snapshotIntervalMs, () => {
       void this.writeSnapshot();
     });
   }
@@ -153,11 +153,19 @@
     this.isWritingSnapshot = false;
   }
 
-  /** Calls `run` at the interval until `stop`; `timerIndex` is the place of the timer in `cancelTimers`. */
-  private scheduleRepeat(timerIndex: number, intervalMs: number, run: () => void): void {
-    this.cancelTimers[timerIndex] = this.options.clock.after(intervalMs, () => {
+  /**
+   * Calls `run` after the delay and then at the interval until `stop`; `timerIndex` is the place of the timer
+   * in `cancelTimers`.
+   */
+  private scheduleRepeat(
+    timerIndex: number,
+    delayMs: number,
+    intervalMs: number,
+    run: () => void,
+  ): void {
+    this.cancelTimers[timerIndex] = this.options.clock.after(delayMs, () => {
       run();
-      if (!this.isStopped) this.scheduleRepeat(timerIndex, intervalMs, run);
+      if (!this.isStopped) this.scheduleRepeat(timerIndex, intervalMs, intervalMs, run);
     });
   }
 }
