Count the age of an owner's newest append from when its claim was sent

Seen by users: a task runs twice at the same time.

Cause: an owner extends leases for 6 s after its newest acknowledged append, and a new owner took the time at which it applied its claim for that of the append. A process that is paused after its claim was appended, and reads it after its successor has claimed, then extends leases for longer than the successor waits. The class: a bound of the form 'at most' that is counted from a later event than the one that the other side counts from.

Fix: the age begins at the first claim that the process sent with this token. No append under the token can precede it, so that the successor's bound holds.

--- a/packages/cell-log/src/cell-ownership.ts
+++ b/packages/cell-log/src/cell-ownership.ts
@@ -1,5 +1,6 @@
 import { createActor, type Actor } from 'xstate';
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import { recordCodec } from '@acaciahoist/cell-state/record-codec';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
@@ -25,8 +26,8 @@
   jitterMs: number;
   /** Time in ms for which this process defers a claim that is due, in favour of other processes. */
   deferMs: () => number;
-  /** This process owns the cell from now on, under this token. */
-  onOwned: (token: number) => void;
+  /** This process owns the cell from now on, under this token. No claim with it was sent before `claimSentAt`. */
+  onOwned: (token: number, claimSentAt: Instant) => void;
   /** This process no longer owns the cell. */
   onLost: (reason: string) => void;
   /** The renewals of the owner have become overdue; the callee may ask the owner why. */
@@ -89,6 +90,8 @@
   /** Monotonic time since which a claim is due; undefined while none is due. */
   private claimDueSinceMs: number | undefined;
   private ownToken = 0;
+  /** Newest token that this process has sent in a claim, and the time of its first claim with it. */
+  private sentClaim: { token: number; sentAt: Instant } | undefined;
   private areRenewalsOverdue = false;
   private lastOwnerContact: { owner: string; atMs: number } | undefined;
   /** The owner whose timeout is shortened, and its timeout. */
@@ -182,7 +185,12 @@
     if (this.machine.getSnapshot().value === 'stopped') return;
     this.ownToken = token;
     this.machine.send({ type: 'CLAIMED' });
-    this.options.onOwned(token);
+    const { sentClaim } = this;
+    const sentAt =
+      sentClaim?.token === token
+        ? sentClaim.sentAt
+        : Instant.create(this.options.clock, Number.POSITIVE_INFINITY);
+    this.options.onOwned(token, sentAt);
   }
 
   /** Updates the age of the newest record of the owner, and claims the cell once a claim is due. */
@@ -242,6 +250,8 @@
     });
     this.ownerRecordAgeMs = 0;
     this.claimDueSinceMs = undefined;
+    // An earlier claim with the same token may still reach the log.
+    if (this.sentClaim?.token !== token) this.sentClaim = { token, sentAt: Instant.create(clock) };
     const wallMs = clock.wallMs();
     const record = recordCodec.encode({
       kind: 'claim',
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import type { Instant } from '@acaciahoist/clock/instant';
 import { CellFront } from '@acaciahoist/cell-front';
 import { CellReplica } from '@acaciahoist/cell-log';
 import { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
@@ -268,8 +269,8 @@
       ownerTimeoutMs: options.ownerTimeoutMs,
       jitterMs: options.claimJitterMs,
       deferMs: () => (this.ranking.isOutranked() ? OUTRANKED_CLAIM_DELAY_MS : 0),
-      onOwned: (token) => {
-        this.startOwning(token);
+      onOwned: (token, claimSentAt) => {
+        this.startOwning(token, claimSentAt);
       },
       onLost: (reason) => {
         this.stopOwning(reason);
@@ -494,7 +495,7 @@
     });
   }
 
-  private startOwning(token: number): void {
+  private startOwning(token: number, claimSentAt: Instant): void {
     const { log } = this.options;
     this.stopOwning('claimed again');
     this.ranking.clearReportedLargestCores();
@@ -508,6 +509,7 @@
       workers: this.workers,
       replica: this.replica,
       token,
+      claimSentAt,
       loopDelayMs: () => this.loopDelayMonitor.delayMs(),
       onFenced: (by) => {
         this.ownership.endOwnership(`fenced by the ${by}`);
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import type { Instant } from '@acaciahoist/clock/instant';
 import type { AppendOutcome } from '@acaciahoist/cell-log/append-outcome';
 import type { CellReplica } from '@acaciahoist/cell-log';
 import type { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
@@ -21,6 +22,8 @@
   snapshots: SnapshotStore;
   replica: CellReplica;
   token: number;
+  /** No claim with this token was sent before this time. */
+  claimSentAt: Instant;
   workers: WorkerDirectory;
   connect: (entry: WorkerEntry) => WorkerClient;
   advise: AdviceClient;
@@ -54,6 +57,7 @@
       log,
       topics,
       token,
+      claimSentAt: options.claimSentAt,
       snapshots,
       state: () => replica.state,
       loopDelayMs: options.loopDelayMs,
--- a/packages/cell-process/src/owner-writer.test.ts
+++ b/packages/cell-process/src/owner-writer.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { Instant } from '@acaciahoist/clock/instant';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
 import { CellState } from '@acaciahoist/cell-state';
 import { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
@@ -26,6 +27,7 @@
     log: () => undefined,
     topics: { cell: 'cell', snapshots: 'keyed.cell', hints: 'keyed.owner' },
     token: 1,
+    claimSentAt: Instant.create(suspendable),
     snapshots: SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined }),
     state: () => CellState.create(1_000),
     loopDelayMs: () => 0,
--- a/packages/cell-process/src/owner-writer.ts
+++ b/packages/cell-process/src/owner-writer.ts
@@ -17,6 +17,8 @@
   log: EventLog;
   topics: { cell: string; snapshots: string; hints: string };
   token: number;
+  /** No claim with this token was sent before this time. */
+  claimSentAt: Instant;
   snapshots: SnapshotStore;
   state: () => CellState;
   /** A producer with a higher epoch has appended, or the sequence numbers do not match the store's. */
@@ -51,7 +53,8 @@
 
   private constructor(private readonly options: Options) {
     const { clock, store, log, topics, token, onFenced } = options;
-    this.newestAcknowledgedSentAt = Instant.create(clock);
+    // The claim may have been in the log for seconds before this process read it.
+    this.newestAcknowledgedSentAt = options.claimSentAt;
     this.claimedAtMs = clock.monotonicMs();
     const commonOptions = { clock, store, log, epoch: token, repeatsRefused: true, onFenced };
     const producer = CellOwnership.producer;
