--- a/packages/cell-process/src/owner-writer.ts
+++ b/packages/cell-process/src/owner-writer.ts
@@ -17,6 +17,8 @@
   log: EventLog;
   topics: { cell: string; snapshots: string; hints: string };
   token: number;
+  /** No claim with this token was sent before this time. */
+  claimSentAt: Instant;
   snapshots: SnapshotStore;
   state: () => CellState;
   /** A producer with a higher epoch has appended, or the sequence numbers do not match the store's. */
@@ -51,7 +53,8 @@
 
   private constructor(private readonly options: Options) {
     const { clock, store, log, topics, token, onFenced } = options;
-    this.newestAcknowledgedSentAt = Instant.create(clock);
+    // The claim may have been in the log for seconds before this process read it.
+    this.newestAcknowledgedSentAt = options.claimSentAt;
     this.claimedAtMs = clock.monotonicMs();
     const commonOptions = { clock, store, log, epoch: token, repeatsRefused: true, onFenced };
     const producer = CellOwnership.producer;
@@ -81,10 +84,10 @@
   /** Starts the renewals of the claim and the snapshots. */
   start(): void {
     this.options.snapshots.setWriter(`${this.options.token}`);
-    this.scheduleRepeat(0, limits.renewMs, () => {
+    this.scheduleRepeat(0, limits.renewMs, limits.renewMs, () => {
       void this.renew();
     });
-    this.scheduleRepeat(1, limits.snapshotIntervalMs, () => {
+    this.scheduleRepeat(1, limits.firstSnapshotDelayMs, limits.snapshotIntervalMs, () => {
       void this.writeSnapshot();
     });
   }
@@ -153,11 +156,19 @@
     this.isWritingSnapshot = false;
   }
 
-  /** Calls `run` at the interval until `stop`; `timerIndex` is the place of the timer in `cancelTimers`. */
-  private scheduleRepeat(timerIndex: number, intervalMs: number, run: () => void): void {
-    this.cancelTimers[timerIndex] = this.options.clock.after(intervalMs, () => {
+  /**
+   * Calls `run` after the delay and then at the interval until `stop`; `timerIndex` is the place of the timer
+   * in `cancelTimers`.
+   */
+  private scheduleRepeat(
+    timerIndex: number,
+    delayMs: number,
+    intervalMs: number,
+    run: () => void,
+  ): void {
+    this.cancelTimers[timerIndex] = this.options.clock.after(delayMs, () => {
       run();
-      if (!this.isStopped) this.scheduleRepeat(timerIndex, intervalMs, run);
+      if (!this.isStopped) this.scheduleRepeat(timerIndex, intervalMs, intervalMs, run);
     });
   }
 }
