Refuse records that the store can never append

Callers would see: after one submission with a long label, rack or image name, no job of the cell is accepted, started or ended any more until the owner is replaced.

Cause: the job decoder bounded the payload, but not the names of labels, racks and images, nor repeated entries of `after`. A body of 261,433 bytes, within the default limit of 262,144, became a record of 262,896 bytes; the store takes records of up to 262,144 and refuses an append as a whole. The owner appends the records of clients together with its own and repeats refused appends, so the append with this record was repeated forever, and all later ones waited behind it.

The appender refuses a record that is too long by itself, because a process of another version may still send one through the owner.

--- a/packages/cell-log/src/appender.test.ts
+++ b/packages/cell-log/src/appender.test.ts
@@ -94,6 +94,17 @@
   expect(calls.map((call) => call.producer?.sequence)).toEqual([1, 1]);
 });
 
+// Guards against a cell that stops because the owner repeats, forever, an append with a record that the
+// store refuses for its length.
+test('the appender refuses a record that exceeds the limit of the store and appends the next record', async () => {
+  const { appender, clock, calls } = create([], true);
+  const tooLong = appender.append([Buffer.alloc(262_145)]);
+  const next = appender.append([record]);
+  await advanceAndFlush(clock);
+  expect([await tooLong, await next]).toEqual(['refused', 'appended']);
+  expect(calls.map((call) => call.records.length)).toEqual([1]);
+});
+
 // Guards against `refused` for a record whose first attempt may have been executed, because the
 // second attempt was refused.
 test('the appender repeats an append that is refused after an attempt of unknown result', async () => {
--- a/packages/cell-log/src/appender.ts
+++ b/packages/cell-log/src/appender.ts
@@ -47,6 +47,8 @@
   completion: Promise<void>;
 }
 
+/** Maximum number of bytes of a record; the store refuses an append with a longer one. */
+const MAX_RECORD_BYTES = 262_144;
 /**
  * Maximum number of bytes of one append. The store accepts 2 MiB; smaller appends keep its
  * partition responsive.
@@ -126,6 +128,13 @@
   /** Appends the records; resolves when the result of the append that contains them is known. */
   append(records: Uint8Array[]): Promise<AppendOutcome> {
     if (this.isClosed) return Promise.resolve(AppendOutcome.refused);
+    const tooLong = records.find((record) => record.byteLength > MAX_RECORD_BYTES);
+    if (tooLong !== undefined) {
+      // The store would refuse every append with it, and the records that wait behind it.
+      const { log, topic } = this.options;
+      log('error', 'record-too-long', { topic, bytes: tooLong.byteLength });
+      return Promise.resolve(AppendOutcome.refused);
+    }
     return new Promise((resolve) => {
       this.waitingCalls.push({ records, resolve });
       this.scheduleNext();
