Keep a worker that lists a row that cannot be decoded

Callers would see: all runs of a worker end after 8 s, and the worker gets no work any more, because of one row in its list of run ends.

Cause: a reply with one malformed row failed as a whole, so the owner extended no lease and took no run end. It acknowledged none either, so the worker listed the row in every reply.

A malformed row is now left out and counted, and logged when the number of such rows changes (`worker-rows-unreadable`). - A malformed row of `running` may be that of any run. While there is one, no run ends for being in neither list. - The run of a malformed row of `finished` is over, since it is not in `running`, but how it ended is not known: it ends as lost and runs again, and its number is acknowledged when that is recorded. A task may run twice then, as after the loss of its worker.

--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -212,6 +212,9 @@
         ),
       })),
       ended: [...this.endedRuns],
+      lastEnd: Math.max(0, ...this.endedRuns.map((end) => end.number)),
+      unreadableRows: 0,
+      isComplete: true,
     };
   }
 
--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -39,11 +39,13 @@
     const nowMs = this.context.clock.monotonicMs();
     const listAgeMs = nowMs - (this.lastListedAtMs.get(session.id) ?? nowMs);
     this.lastListedAtMs.set(session.id, nowMs);
+    this.reportUnreadableRows(session, reply.unreadableRows);
     const listedTasks = new Set<string>();
     for (const ended of reply.ended) {
       listedTasks.add(ended.task);
       if (ended.number > session.lastReportedEnd) this.handleRunEnd(session, ended);
     }
+    session.lastReportedEnd = Math.max(session.lastReportedEnd, reply.lastEnd);
     for (const listedRun of reply.running) {
       const trackedRun = this.context.runs.get(listedRun.task);
       const isRecorded = trackedRun?.worker === session.id && trackedRun.run === listedRun.run;
@@ -68,7 +70,9 @@
       if (!this.isCurrentRun(trackedRun)) this.context.sendStop(session, trackedRun);
       else this.monitor.checkProgress(session, trackedRun, nowMs);
     }
-    for (const trackedRun of [...this.context.runs.listOn(session.id)]) {
+    // A row that cannot be decoded may be that of any run, which then still runs.
+    const unlistedRuns = reply.isComplete ? [...this.context.runs.listOn(session.id)] : [];
+    for (const trackedRun of unlistedRuns) {
       if (!listedTasks.has(trackedRun.task)) this.handleUnlistedRun(session, trackedRun, sentAtMs);
     }
     this.acknowledgeRunEnds(session);
@@ -77,7 +81,6 @@
 
   /** Handles a run end that the worker lists for the first time. */
   private handleRunEnd(session: WorkerSession, ended: EndedRun): void {
-    session.lastReportedEnd = Math.max(session.lastReportedEnd, ended.number);
     const trackedRun = this.context.runs.get(ended.task);
     if (trackedRun?.run !== ended.run || trackedRun.worker !== session.id) return;
     this.monitor.recordEnd(trackedRun, ended.how);
@@ -111,6 +114,13 @@
     this.context.proposeRunEnd(trackedRun, RunEnd.lost, reason);
   }
 
+  /** Logs the rows that could not be decoded when their number changes. */
+  private reportUnreadableRows(session: WorkerSession, rows: number): void {
+    if (rows === session.unreadableRows) return;
+    session.unreadableRows = rows;
+    this.context.log('warn', 'worker-rows-unreadable', { worker: session.id, rows });
+  }
+
   /** True while the run is the current one of its task in the cell state. */
   private isCurrentRun(trackedRun: TrackedRun): boolean {
     const taskEntry = this.context.state.findTask(trackedRun.task);
--- a/packages/cell-owner/src/worker-session.ts
+++ b/packages/cell-owner/src/worker-session.ts
@@ -55,6 +55,8 @@
   lastReportedEnd = 0;
   /** Run ends up to this number are recorded; hold calls acknowledge them. */
   acknowledgedEnd = 0;
+  /** Number of rows in the newest reply that could not be decoded. */
+  unreadableRows = 0;
   /** Wait in ms of the newest hold call. */
   private holdWaitMs: number = limits.holdWaitMs;
   private isStopped = false;
@@ -213,7 +215,9 @@
     this.options.onHeldReply(this, reply, sentAtMs);
     // The first call extended no lease, as the worker's clock was unknown. The next one follows at once.
     if (isFirstReply) return 0;
-    if (reply.ended.length === 0) return 0;
+    // A run end without a readable number is listed, and ends the wait of each call, until a later one is
+    // acknowledged.
+    if (reply.ended.length === 0 && reply.unreadableRows === 0) return 0;
     // While the process is busy, a longer pause lets one call return more run ends.
     return limits.holdGapMs + limits.holdDelayFactor * this.options.loopDelayMs();
   }
--- a/packages/cell-types/src/hold-reply.ts
+++ b/packages/cell-types/src/hold-reply.ts
@@ -3,8 +3,21 @@
 
 /** Result of a hold call, which extends the lease of a worker and reads its lists of runs. */
 export type HoldReply =
-  /** `clockMs`: time on the worker's clock. `born`: incarnation that answered. */
-  | { kind: 'held'; clockMs: number; born: number; running: RunningRun[]; ended: EndedRun[] }
+  | {
+      kind: 'held';
+      /** Time on the worker's clock. */
+      clockMs: number;
+      /** Incarnation that answered. */
+      born: number;
+      running: RunningRun[];
+      ended: EndedRun[];
+      /** Highest number of a listed run end, also of one that cannot be decoded; 0 for none. */
+      lastEnd: number;
+      /** Number of rows of both lists that cannot be decoded. */
+      unreadableRows: number;
+      /** False when a run of the worker may be missing from `running`. */
+      isComplete: boolean;
+    }
   /** The worker has seen a higher fencing token. */
   | { kind: 'fenced' }
   /** Another incarnation answered, or no process listens at the address. */
