--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -70,7 +70,7 @@
       if (!this.isCurrentRun(trackedRun)) this.context.sendStop(session, trackedRun);
       else this.monitor.checkProgress(session, trackedRun, nowMs);
     }
-    // A row that cannot be decoded may be that of any run, which then still runs.
+    // A run that is missing from an incomplete reply may still run, or its end may be listed later.
     const unlistedRuns = reply.isComplete ? [...this.context.runs.listOn(session.id)] : [];
     for (const trackedRun of unlistedRuns) {
       if (!listedTasks.has(trackedRun.task)) this.handleUnlistedRun(session, trackedRun, sentAtMs);
--- a/packages/cell-types/src/hold-reply.ts
+++ b/packages/cell-types/src/hold-reply.ts
@@ -15,7 +15,7 @@
       lastEnd: number;
       /** Number of rows of both lists that cannot be decoded. */
       unreadableRows: number;
-      /** False when a run of the worker may be missing from `running`. */
+      /** False when a run that is in neither list may still run or may have ended. */
       isComplete: boolean;
     }
   /** The worker has seen a higher fencing token. */
