Refuse a configuration with an odd value as a whole

Callers would see: new queues answered with 404 for good; a queue that is neither urgent nor ordered; bodies of any length accepted.

Cause: the decoder checked that `version` is a number and that four fields of a route are texts, and took all else as it was. `version` 1e999 was put into force as infinite, and no later version exceeds it. `priority` "x" and `maxBodyBytes` "no" made every comparison false, and a number for `recommendation` turned into advice terms of 0 ms.

One invalid value refuses the version, also in an optional field: the default of `priority` is the most urgent one, and that of `recommendation` lets tasks start where they may not run, so a default could do more harm than a version that comes into force later. Dropping only the odd route would answer 404 for a queue that exists. The version before stays in force; the next valid one is taken. The log line names the field and the version in force, at most once in 10 s.

--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -1,3 +1,4 @@
+import Result from 'true-myth/result';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
 import { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
@@ -8,6 +9,7 @@
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
 import { PaceReply } from '@acaciahoist/cell-types/pace-reply';
+import type { CellConfiguration } from '@acaciahoist/cell-types/cell-configuration';
 import type { StartReply } from '@acaciahoist/cell-types/start-reply';
 import { StopReply } from '@acaciahoist/cell-types/stop-reply';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
@@ -225,9 +227,7 @@
       dataCentre: this.getDataCentre(name),
       replicas: this.options.replicas ?? { maxSmallCellSize: 12, standbys: 4 },
       decodeConfiguration: (data) =>
-        JSON.parse(Buffer.from(data).toString()) as ReturnType<
-          Parameters<typeof CellProcess.create>[0]['decodeConfiguration']
-        >,
+        Result.ok(JSON.parse(Buffer.from(data).toString()) as CellConfiguration),
       decodeWorkerEntry: (_id, data) => JSON.parse(Buffer.from(data).toString()) as WorkerEntry,
       connect: (entry) => this.connect(name, incarnationName, clock, entry),
       advise: (step, workers) => this.advise(clock, step, workers),
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -1,3 +1,4 @@
+import type Result from 'true-myth/result';
 import type { Clock } from '@acaciahoist/clock';
 import { CellFront } from '@acaciahoist/cell-front';
 import { CellReplica } from '@acaciahoist/cell-log';
@@ -14,6 +15,7 @@
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
+import type { Failure } from '@acaciahoist/errors';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import type { PeerCallMap } from '@acaciahoist/types/peer-call-map';
 import { PeerTracker } from './peer-tracker.js';
@@ -70,7 +72,7 @@
    * the owner and `standbys` others in a larger one.
    */
   replicas: { maxSmallCellSize: number; standbys: number };
-  decodeConfiguration: (data: Uint8Array) => CellConfiguration | undefined;
+  decodeConfiguration: (data: Uint8Array) => Result<CellConfiguration, Failure>;
   decodeWorkerEntry: (id: string, data: Uint8Array) => WorkerEntry | undefined;
   connect: (entry: WorkerEntry) => WorkerClient;
   advise: AdviceClient;
@@ -85,6 +87,8 @@
 const OWNER_READ_INTERVAL_MS = 50;
 /** Maximum time in ms for which a read waits for a new configuration, which must be in force within 2 s. */
 const CONFIGURATION_WAIT_MS = 1_000;
+/** Minimum time in ms between two log lines about a configuration that cannot be decoded. */
+const UNREADABLE_LOG_INTERVAL_MS = 10_000;
 /**
  * Interval in ms at which a process with a replica calls the owner. The calls also show when the owner's
  * process has ended.
@@ -173,6 +177,9 @@
   readonly front: CellFront;
   /** The configuration in force; undefined until it is read for the first time. */
   configuration: CellConfiguration | undefined;
+  /** Number of versions that could not be decoded, and the monotonic time at which one was logged. */
+  private unreadableConfigurations = 0;
+  private unreadableLoggedAtMs = Number.NEGATIVE_INFINITY;
   private readonly replica: CellReplica;
   private readonly ownership: CellOwnership;
   private readonly appender: Appender;
@@ -481,16 +488,27 @@
   private applyConfiguration(key: string, value: Uint8Array | undefined): void {
     if (key !== this.options.configurationKey || value === undefined) return;
     const configuration = this.options.decodeConfiguration(value);
-    if (configuration === undefined) {
-      this.options.log('error', 'configuration-unreadable', { bytes: value.byteLength });
+    if (configuration.isErr) {
+      this.reportUnreadableConfiguration(configuration.error.message);
       return;
     }
-    const currentVersion = this.configuration?.version ?? Number.NEGATIVE_INFINITY;
-    if (configuration.version <= currentVersion) return;
-    this.configuration = configuration;
-    this.options.log('info', 'configuration-in-force', {
-      version: configuration.version,
-      queues: configuration.queues.length,
+    const { version, queues } = configuration.value;
+    if (version <= (this.configuration?.version ?? Number.NEGATIVE_INFINITY)) return;
+    this.configuration = configuration.value;
+    this.options.log('info', 'configuration-in-force', { version, queues: queues.length });
+  }
+
+  /** Logs that a version was refused, at a bounded rate; the one before it stays in force. */
+  private reportUnreadableConfiguration(reason: string): void {
+    const { clock, log } = this.options;
+    this.unreadableConfigurations += 1;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.unreadableLoggedAtMs < UNREADABLE_LOG_INTERVAL_MS) return;
+    this.unreadableLoggedAtMs = nowMs;
+    log('error', 'configuration-unreadable', {
+      reason,
+      versionInForce: this.configuration?.version ?? null,
+      unreadable: this.unreadableConfigurations,
     });
   }
 
