Open no replacement of a connection after its link has stopped

Cause: stopping a link ends the outstanding probe without a reply. The probe took that for a silent connection and opened another one, which nothing closes. A probe is outstanding at most stops under load, since every unanswered call sends one.

Fix: a stopped link opens no replacement.

--- a/packages/peer-socket/src/peer-client.test.ts
+++ b/packages/peer-socket/src/peer-client.test.ts
@@ -52,8 +52,18 @@
   return server;
 }
 
+/** Time in ms in which a client that goes on after its stop would open a connection: several probe timeouts. */
+const AFTER_STOP_MS = 400;
+
+interface Relay {
+  address: string;
+  freeze: () => void;
+  /** Number of connections that were opened so far. */
+  countConnections: () => number;
+}
+
 /** Forwards TCP to `port`; `freeze` makes the open connections silent without closing them. */
-async function startRelay(port: number): Promise<{ address: string; freeze: () => void }> {
+async function startRelay(port: number): Promise<Relay> {
   const socketPairs: [TcpSocket, TcpSocket][] = [];
   const relay: Server = createServer((inbound) => {
     const outbound = connect(port, '127.0.0.1');
@@ -77,6 +87,7 @@
         outbound.pause();
       }
     },
+    countConnections: () => socketPairs.length,
   };
 }
 
@@ -125,3 +136,18 @@
   expect(replyOnReplacement.isOk).toEqual(true);
   expect(client.describe()[0]?.replacements).toEqual(1);
 });
+
+// Guards against a process that never exits after its stop: a probe that is outstanding when the client stops
+// gets no reply, and a connection that nothing closes was opened in place of the silent one.
+test('the peer client opens no connection after its stop when a probe is outstanding', async () => {
+  const server = await startServer();
+  const relay = await startRelay(Number(server.address().split(':')[1]));
+  const client = createClient();
+  await client.call(relay.address, 'read-configuration', {}, 1_000);
+  relay.freeze();
+  const unansweredCall = client.call(relay.address, 'read-configuration', {}, 40);
+  expect((await unansweredCall).isErr).toEqual(true);
+  client.stop();
+  await new Promise<void>((resolve) => clock.after(AFTER_STOP_MS, resolve));
+  expect(relay.countConnections()).toEqual(1);
+});
--- a/packages/peer-socket/src/peer-link.ts
+++ b/packages/peer-socket/src/peer-link.ts
@@ -185,6 +185,8 @@
   }
 
   private openReplacement(oldConnection: PeerConnection): void {
+    // The connection of an outstanding probe also ends when the link stops.
+    if (this.isStopped) return;
     this.machine.send({ type: 'PROBE_FAILED' });
     this.replacement = this.openConnection(() => {
       this.current = this.replacement;
