Fail calls after the stop of a peer client as not sent

Cause: a call after the stop created a new link, and nothing closes that one. Work that the stop of a process does not wait for may still call.

Fix: links that are created after the stop are stopped from the beginning.

--- a/packages/peer-socket/src/peer-client.test.ts
+++ b/packages/peer-socket/src/peer-client.test.ts
@@ -151,3 +151,15 @@
   await new Promise<void>((resolve) => clock.after(AFTER_STOP_MS, resolve));
   expect(relay.countConnections()).toEqual(1);
 });
+
+// Guards against a process that never exits after its stop, because a call that is made later opens a connection
+// that nothing closes.
+test('the peer client fails a call after its stop as not sent and opens no connection', async () => {
+  const server = await startServer();
+  const relay = await startRelay(Number(server.address().split(':')[1]));
+  const client = createClient();
+  client.stop();
+  const reply = await client.call(relay.address, 'read-configuration', {}, AFTER_STOP_MS);
+  expect(reply.isErr && reply.error.kind).toEqual('owner-unreachable');
+  expect(relay.countConnections()).toEqual(0);
+});
--- a/packages/peer-socket/src/peer-client.ts
+++ b/packages/peer-socket/src/peer-client.ts
@@ -24,13 +24,14 @@
   }
 
   private readonly links = new Map<string, PeerLink>();
+  private isStopped = false;
 
   private constructor(private readonly options: Options) {}
 
   /**
-   * Calls the peer at the address `ip:port`. Fails with `owner-unreachable` when nothing was sent, with
-   * `outcome-unknown` when the call was sent and not answered within `timeoutMs`, and with the failure that
-   * the peer returned.
+   * Calls the peer at the address `ip:port`. Fails with `owner-unreachable` when nothing was sent, which is the
+   * case after `stop`, with `outcome-unknown` when the call was sent and not answered within `timeoutMs`, and
+   * with the failure that the peer returned.
    */
   call<Type extends PeerCallType>(
     address: string,
@@ -48,6 +49,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     for (const link of this.links.values()) link.stop();
     this.links.clear();
   }
@@ -61,6 +63,8 @@
     if (existing !== undefined) return existing;
     const link = PeerLink.create({ ...this.options, address });
     this.links.set(address, link);
+    // Nothing would close a connection that is opened after the stop, and the process would not exit.
+    if (this.isStopped) link.stop();
     return link;
   }
 }
