Round the time of a term down

Clients would see an ended job unknown up to 1 ms too early for each change of the owner within the retention time.

Cause: each owner rounded the time of its term up. The time of the cell is the sum over the terms and could advance faster than true time.

Fix: round down. Within one term a job is dated up to 1 ms too early then, which the strict comparison at the removal covers; between terms time is only lost.

--- a/packages/cell-process/src/owner-writer.test.ts
+++ b/packages/cell-process/src/owner-writer.test.ts
@@ -3,7 +3,9 @@
 import { Instant } from '@acaciahoist/clock/instant';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
 import { CellState } from '@acaciahoist/cell-state';
+import { recordCodec } from '@acaciahoist/cell-state/record-codec';
 import { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
+import type { AppendRequest } from '@acaciahoist/cell-types/append-request';
 import { OwnerWriter } from './owner-writer.js';
 
 // Guards against an owner that was suspended for longer than its lease lasts and goes on to extend the
@@ -45,3 +47,38 @@
   await renewed;
   expect(writer.lastAppendAgeMs()).toBeLessThan(100);
 });
+
+// Guards against a time of the cell that advances faster than true time: it is the sum over many owners, whose
+// times would each be up to 1 ms too long.
+test('the owner writer rounds the time of its term down', async () => {
+  const clock = ManualClock.create(1_000_000);
+  const records: Uint8Array[] = [];
+  const store = {
+    append: (request: AppendRequest) => {
+      records.push(...request.records);
+      return Promise.resolve({ kind: 'appended' as const, offset: 0 });
+    },
+    readNewest: () => Promise.resolve(undefined),
+    encodeKeyed: () => Buffer.alloc(0),
+  };
+  const writer = OwnerWriter.create({
+    clock,
+    store,
+    log: () => undefined,
+    topics: { cell: 'cell', snapshots: 'keyed.cell', hints: 'keyed.owner' },
+    token: 1,
+    claimSentAt: Instant.create(clock),
+    snapshots: SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined }),
+    state: () => CellState.create(1_000),
+    loopDelayMs: () => 0,
+    onFenced: () => undefined,
+    onAppended: () => undefined,
+  });
+  clock.advance(0.9);
+  writer.start();
+  clock.advance(300);
+  await Promise.resolve();
+  const renewal = recordCodec.decode(records[0] ?? new Uint8Array());
+  expect(renewal?.kind === 'renew' && renewal.termMs).toEqual(250);
+  writer.stop();
+});
--- a/packages/cell-process/src/owner-writer.ts
+++ b/packages/cell-process/src/owner-writer.ts
@@ -137,7 +137,7 @@
         kind: 'renew',
         wallMs: clock.wallMs(),
         token,
-        termMs: Math.ceil(clock.monotonicMs() - this.claimedAtMs),
+        termMs: Math.floor(clock.monotonicMs() - this.claimedAtMs),
         asOfOffset: state().nextOffset,
       },
     ]);
--- a/packages/cell-state/src/cell-state.ts
+++ b/packages/cell-state/src/cell-state.ts
@@ -342,7 +342,7 @@
     this.undatedJobs.splice(0, datedCount);
     // The map holds the jobs in the order of their ends, so that the loop begins with the oldest.
     for (const [id, { retainedFromMs }] of this.ended) {
-      // Equal times do not show that the whole time has passed, because recorded times are rounded up.
+      // Equal times do not show that the whole time has passed, because recorded times are rounded down.
       if (retainedFromMs === undefined || this.cellTimeMs <= retainedFromMs + this.retentionMs)
         break;
       this.ended.delete(id);
--- a/packages/cell-types/src/cell-record.ts
+++ b/packages/cell-types/src/cell-record.ts
@@ -11,7 +11,7 @@
   | { kind: 'claim'; owner: string; address: string; token: number; wallMs: number }
   /**
    * The owner is alive. `wallMs` is its Unix time, `termMs` the time on its monotonic clock since it applied its
-   * claim with this token, rounded up to whole ms. All records before `asOfOffset` were in the log at that time.
+   * claim with this token, rounded down to whole ms. All records before `asOfOffset` were in the log at that time.
    * Replicas remove ended jobs by `termMs`. Owners of earlier versions record `wallMs` only.
    */
   | {
