Drop remembered jobs by their age when they are read

Callers would see a job accepted that is never stored, or shown as queued for good: a process without a replica removed the jobs that it remembers only when it accepted or read another one. In one that accepts few jobs an id stayed after all replicas had removed the job, and a new submission of it was answered with success without an append.

Evidence: on the parent commit 'the cell front without a replica forgets an accepted job after the retention time' failed: the state was queued in place of unknown-job.

Fix: a value that has reached its maximum age counts as absent. A submission of a job that still runs is then appended again, which has no effect.

--- a/packages/cell-front/src/cell-front.test.ts
+++ b/packages/cell-front/src/cell-front.test.ts
@@ -257,6 +257,29 @@
   expect(jobState.isOk && jobState.value).toEqual('queued');
 });
 
+// Guards against a client whose job is accepted and never stored: a process that accepts few jobs still had the id
+// of a job that all replicas had removed.
+test('the cell front without a replica forgets an accepted job after the retention time', async () => {
+  let appendCount = 0;
+  const { front, clock } = create({
+    hasNoReplica: true,
+    remoteState: { kind: 'absent' },
+    append: () => {
+      appendCount += 1;
+      return Promise.resolve('appended');
+    },
+  });
+  expect((await front.submit(job, 1_000)).isOk).toEqual(true);
+  clock.advance(119_999);
+  expect((await front.submit(job, 1_000)).isOk).toEqual(true);
+  expect(appendCount).toEqual(1);
+  clock.advance(1);
+  const jobState = await front.jobStateOf(job.id);
+  expect(jobState.isErr && jobState.error.kind).toEqual(ErrorKind.unknownJob);
+  expect((await front.submit(job, 1_000)).isOk).toEqual(true);
+  expect(appendCount).toEqual(2);
+});
+
 // Guards against "no such job" for an accepted job, which counts as lost then: the process dropped
 // its replica while it read the end of the log, and did not query other processes afterwards.
 test('the cell front queries others for a job when it drops its replica while it reads the end of the log', async () => {
--- a/packages/cell-front/src/recent-map.ts
+++ b/packages/cell-front/src/recent-map.ts
@@ -7,7 +7,10 @@
   maxSize: number;
 }
 
-/** Map that drops values above a maximum age, and the oldest above a maximum size, in `set`. */
+/**
+ * Map without values that have reached a maximum age. They are removed in `set`, as are the oldest above a
+ * maximum size.
+ */
 export class RecentMap<Value> {
   static create<Value>(options: Options): RecentMap<Value> {
     return new RecentMap<Value>(options);
@@ -18,14 +21,14 @@
   private constructor(private readonly options: Options) {}
 
   get(key: string): Value | undefined {
-    return this.entries.get(key)?.value;
+    return this.has(key) ? this.entries.get(key)?.value : undefined;
   }
 
   has(key: string): boolean {
-    return this.entries.has(key);
+    return this.ageMs(key) < this.options.maxAgeMs;
   }
 
-  /** Age of a value in ms; infinite for a key without a value. */
+  /** Time in ms since the value of the key was set; infinite for a key without one. */
   ageMs(key: string): number {
     const entry = this.entries.get(key);
     if (entry === undefined) return Number.POSITIVE_INFINITY;
