Start nothing on a worker whose entry becomes unreadable

The protocol says that an unreadable entry names no worker to use. When another program overwrote the entry of a known worker, the owner logged it and went on starting tasks there by the former entry; a new owner did the same. A drain that the worker reported in such an entry would have been overlooked as well.

The directory of workers kept the former entry and told nobody. It still keeps it, as a new owner must find what runs there, and now reports to the owner that it is no longer the newest. The owner starts nothing on that worker until a readable entry is published; hold calls, leases and runs continue. This applies at once, without the grace time of a removed entry: entries are removed without cause while the store is down, but are not overwritten.

A process that has not read the former entry does not know the address.

--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -175,6 +175,16 @@
       session.leavesAtMs = this.options.clock.monotonicMs() + entry.leavesInMs;
     session.entry = { ...entry, address: session.entry.address };
     session.missingSinceMs = 0;
+    session.isEntryReadable = true;
+  }
+
+  /**
+   * Records that the published entry of a worker cannot be decoded. The worker gets no starts until it has a
+   * readable entry again, and keeps its runs: the entry may come from another program.
+   */
+  markEntryUnreadable(id: string): void {
+    const session = this.sessions.get(id);
+    if (session !== undefined) session.isEntryReadable = false;
   }
 
   /** Marks the workers without a published entry; `publishedIds` has the ids of all entries. */
--- a/packages/cell-owner/src/worker-session.ts
+++ b/packages/cell-owner/src/worker-session.ts
@@ -42,6 +42,8 @@
   leavesAtMs = Number.POSITIVE_INFINITY;
   /** Monotonic time at which the worker's entry was removed; 0 while it is published. */
   missingSinceMs = 0;
+  /** False while the published entry of the worker cannot be decoded: the worker gets no starts. */
+  isEntryReadable = true;
   /** Monotonic time until which the worker gets no starts. */
   noStartsUntilMs = 0;
   /** True once the worker has seen this owner's token. */
@@ -88,6 +90,7 @@
       this.hasSeenToken &&
       this.isReachable &&
       !this.entry.draining &&
+      this.isEntryReadable &&
       !this.isEntryMissing() &&
       this.clockReading !== undefined &&
       this.contactAgeMs() < this.maxContactAgeMs &&
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -91,6 +91,9 @@
       onEntry: (entry) => {
         this.owner.updateWorker(entry);
       },
+      onUnreadable: (id) => {
+        this.owner.markEntryUnreadable(id);
+      },
       onRemoved: (id) => {
         this.owner.markEntryMissing(id);
       },
--- a/packages/cell-process/src/worker-directory.test.ts
+++ b/packages/cell-process/src/worker-directory.test.ts
@@ -89,14 +89,19 @@
   const entries: string[] = [];
   const reloads: ReadonlySet<string>[] = [];
   const removed: string[] = [];
+  const unreadable: string[] = [];
   return {
     entries,
     reloads,
     removed,
+    unreadable,
     onEntry: (entry: WorkerEntry): void => {
       new URL(`http://${entry.address}`);
       if (goodIds.includes(entry.id)) entries.push(entry.id);
     },
+    onUnreadable: (id: string): void => {
+      unreadable.push(id);
+    },
     onRemoved: (id: string): void => {
       removed.push(id);
     },
@@ -161,3 +166,24 @@
     );
   expect(lines.length).toEqual(4);
 });
+
+// Guards against starts on a worker by an entry that has been overwritten, and against a new owner that does
+// not know the worker and gives up what runs there.
+test('the worker directory keeps a worker whose entry becomes unreadable and reports it as such', async () => {
+  const { directory, advance, write } = create();
+  write([good('w0'), good('w1')]);
+  const listener = createListener();
+  directory.attach(listener);
+  await advance(300);
+  write([['w0', 'not JSON']]);
+  await advance(300);
+  expect([listener.entries, listener.unreadable]).toEqual([['w0', 'w1'], ['w0']]);
+  const successor = createListener();
+  directory.attach(successor);
+  expect([successor.entries, successor.unreadable]).toEqual([['w0', 'w1'], ['w0']]);
+  write([good('w0')]);
+  await advance(600);
+  const last = createListener();
+  directory.attach(last);
+  expect([last.entries, last.unreadable]).toEqual([['w0', 'w1'], []]);
+});
--- a/packages/cell-process/src/worker-directory.ts
+++ b/packages/cell-process/src/worker-directory.ts
@@ -18,6 +18,8 @@
 interface EntryListener {
   /** An entry that is new, changed or read again. */
   onEntry: (entry: WorkerEntry) => void;
+  /** An entry that cannot be decoded; for a known worker it replaces a readable one. */
+  onUnreadable: (id: string) => void;
   onRemoved: (id: string) => void;
   /** The ids of all entries in the store, after these were read in full. */
   onReloaded: (ids: ReadonlySet<string>) => void;
@@ -44,7 +46,11 @@
     return new WorkerDirectory(options);
   }
 
-  private readonly entries = new Map<string, WorkerEntry>();
+  /**
+   * The newest readable entry of each worker, and whether it is the newest entry. A worker whose newest entry is
+   * unreadable may have runs, which a new owner must find.
+   */
+  private readonly entries = new Map<string, { entry: WorkerEntry; isNewest: boolean }>();
   private listener: EntryListener | undefined;
   private follower: KeyedFollower | undefined;
 
@@ -93,7 +99,11 @@
   attach(listener: EntryListener): void {
     this.startFollowing();
     this.listener = listener;
-    for (const entry of this.entries.values()) this.passEntry(entry);
+    for (const { entry, isNewest } of this.entries.values())
+      this.callListener(entry, () => {
+        listener.onEntry(entry);
+        if (!isNewest) listener.onUnreadable(entry.id);
+      });
     this.follower?.reloadNow();
   }
 
@@ -109,9 +119,14 @@
       return;
     }
     const entry = this.decode(id, value);
-    if (entry === undefined) return;
-    this.entries.set(id, entry);
-    this.passEntry(entry);
+    if (entry === undefined) {
+      const known = this.entries.get(id);
+      if (known !== undefined) known.isNewest = false;
+      this.listener?.onUnreadable(id);
+      return;
+    }
+    this.entries.set(id, { entry, isNewest: true });
+    this.callListener(entry, () => this.listener?.onEntry(entry));
   }
 
   /** Decodes an entry; logs one that is unreadable and returns undefined. */
@@ -128,10 +143,10 @@
     return undefined;
   }
 
-  /** Passes an entry to the listener. An entry for which it throws affects no other worker. */
-  private passEntry(entry: WorkerEntry): void {
+  /** Calls the listener for an entry. An entry for which it throws affects no other worker. */
+  private callListener(entry: WorkerEntry, call: () => void): void {
     try {
-      this.listener?.onEntry(entry);
+      call();
     } catch (thrown) {
       const fields = { worker: entry.id, address: entry.address, error: String(thrown) };
       this.faultLog.write(entry.id, 'error', 'worker-entry-not-used', fields);
