--- a/packages/cell-emulator/src/job-retention.test.ts
+++ b/packages/cell-emulator/src/job-retention.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { Packr } from 'msgpackr';
 import { CallFault } from './call-fault.js';
 import { createJob } from './create-job.js';
 import { EmulatedCell } from './emulated-cell.js';
@@ -145,6 +146,32 @@
   for (const id of cell.acceptedJobs) expect(process?.jobStateOf(id)).not.toEqual(undefined);
 });
 
+// Guards against the same answer for all ended jobs, for good, and against a cell without an owner: another writer
+// appended records with times and tokens that are no numbers of this system.
+test('the cell keeps its owner and every process knows every job when the log has records with odd numbers', async () => {
+  const cell = await startCell(38);
+  submitJobs(cell, 10);
+  await advanceWithQueries(cell, 2_000);
+  const owner = cell.findOwnerName();
+  const claim = cell.processes[0]?.process.describe().owner as { token: number };
+  const records = [Number.NaN, 1e300, -1e300, 2n ** 60n].flatMap((number) => [
+    { kind: 'renew', wallMs: number, token: claim.token, termMs: number, asOfOffset: number },
+    { kind: 'renew', wallMs: 0, token: claim.token, termMs: number, asOfOffset: 0 },
+    { kind: 'claim', owner: 'x', address: 'x', token: number, wallMs: 0 },
+  ]);
+  const packr = new Packr({ useRecords: false });
+  for (const record of records) {
+    cell.store
+      .getTopic('cell')
+      .append({ topic: 'cell', records: [packr.pack(record)] }, cell.clock.monotonicMs());
+    await advanceWithQueries(cell, 200);
+  }
+  expect(cell.findOwnerName()).toEqual(owner);
+  await advanceWithQueries(cell, 3_000);
+  expect(cell.acceptedJobs.size).toEqual(10);
+  expect(cell.listViolations()).toEqual([]);
+});
+
 /** Faults that delay renewals, replace the owner or move its wall clock. */
 const RETENTION_FAULTS = [
   'kill-owner',
--- a/packages/cell-state/src/cell-state.test.ts
+++ b/packages/cell-state/src/cell-state.test.ts
@@ -331,6 +331,76 @@
   expect(recordCodec.decode(recordCodec.encode({ kind: 'release' }))).toEqual({ kind: 'release' });
 });
 
+/** Creates the bytes of an array that contains another one, and so on, `depth` levels deep. */
+const createDeepArray = (depth: number): Buffer =>
+  Buffer.concat([Buffer.alloc(depth, 0x91), Buffer.from([0xc0])]);
+
+const packPlain = (value: unknown): Uint8Array => new Packr({ useRecords: false }).pack(value);
+
+/** Creates the bytes of a job record with a field `extra` that this version does not know. */
+function packJobWithExtra(extra: Uint8Array): Uint8Array {
+  const marker = 'place of the unknown field';
+  const data = Buffer.from(packPlain({ kind: 'job', job: { ...createJob(), extra: marker } }));
+  const encodedMarker = Buffer.from(packPlain(marker));
+  const start = data.indexOf(encodedMarker);
+  return Buffer.concat([
+    data.subarray(0, start),
+    extra,
+    data.subarray(start + encodedMarker.byteLength),
+  ]);
+}
+
+// Guards against a state that is changed half way, and against times, tokens and run numbers that are no
+// numbers: all ended jobs would be unknown from then on, or no process could claim the cell, at every process.
+for (const [name, value] of Object.entries<unknown>({
+  'a claim without an owner': { ...createClaim(1), owner: undefined },
+  'a claim whose token is no number': { ...createClaim(1), token: Number.NaN },
+  'a claim with a token of 1e300': { ...createClaim(1), token: 1e300 },
+  'a claim with a token of 64 bits': { ...createClaim(1), token: 2n ** 60n },
+  'a claim with an address that is a list': { ...createClaim(1), address: [] },
+  'a claim with an infinite wall time': createClaim(1, Number.POSITIVE_INFINITY),
+  'a renewal without a wall time': { kind: 'renew' },
+  'a renewal with a wall time of 1e300': createRenewal(1, 0, 1e300),
+  'a renewal whose term is no number': createRenewal(Number.NaN, 0),
+  'a renewal with a term of 1e300 ms': createRenewal(1e300, 0),
+  'a renewal with a negative term': createRenewal(-1, 0),
+  'a renewal whose offset is no number': createRenewal(1, Number.NaN),
+  'a job that is null': { kind: 'job', job: null },
+  'a job with steps that are no list': { kind: 'job', job: { ...createJob(), steps: 5 } },
+  'a job with half a task': { kind: 'job', job: createJob({ count: 0.5 }) },
+  'a job with an infinite demand': {
+    kind: 'job',
+    job: createJob({ millicores: Number.POSITIVE_INFINITY }),
+  },
+  'a job with dependencies that are no list': {
+    kind: 'job',
+    job: createJob({ after: 1 as unknown as number[] }),
+  },
+  'a job without a queue': { kind: 'job', job: { ...createJob(), queue: undefined } },
+  'a cancel of a list': { kind: 'cancel', id: [] },
+  'a start of a run that is no number': createStart(0, Number.NaN),
+  'a start of run 1e300': createStart(0, 1e300),
+  'a start without a worker': { ...createStart(0), worker: null },
+  'an incarnation that is no number': { kind: 'life', worker: 'w', born: Number.NaN },
+  'a run end without a checkpoint': { ...createEnd(0, RunEnd.done), saved: null },
+}))
+  test(`the record codec rejects ${name}`, () => {
+    expect(recordCodec.decode(packPlain(value))).toEqual(undefined);
+  });
+
+// Guards against a process that ends because of a deeply nested record, and against one that decodes it and can
+// then encode no snapshot: after 20 s the log no longer has what the last snapshot lacks.
+for (const depth of [100, 2_000, 3_000, 100_000])
+  test(`the record codec rejects a job with a field that is nested ${depth} levels deep`, () => {
+    const data = packJobWithExtra(createDeepArray(depth));
+    expect(recordCodec.decode(data)).toEqual(undefined);
+  });
+
+// Guards against replicas that do not have the jobs of a later version, whose records have further fields.
+test('the record codec accepts a job with a field that this version does not know', () => {
+  expect(recordCodec.decode(packJobWithExtra(createDeepArray(4)))?.kind).toEqual('job');
+});
+
 // Guards against records of twice the necessary size: at 600 starts a second, field names were half
 // of the bytes that every process reads.
 test('the record codec writes no field names when it encodes a start or a run end', () => {
--- a/packages/types/src/find-shape-error.ts
+++ b/packages/types/src/find-shape-error.ts
@@ -28,7 +28,11 @@
     case 'string':
       return findStringDeviation(shape.max ?? DEFAULT_MAX_CHARACTERS, value);
     case 'number':
-      return findNumberDeviation(shape.min ?? Number.NEGATIVE_INFINITY, value);
+      return findNumberDeviation(
+        shape.min ?? Number.NEGATIVE_INFINITY,
+        shape.max ?? Number.POSITIVE_INFINITY,
+        value,
+      );
     case 'integer':
       return Number.isSafeInteger(value) && Number(value) >= shape.min
         ? undefined
@@ -57,10 +61,11 @@
     : undefined;
 }
 
-function findNumberDeviation(min: number, value: unknown): Deviation | undefined {
+function findNumberDeviation(min: number, max: number, value: unknown): Deviation | undefined {
   if (typeof value !== 'number' || !Number.isFinite(value))
     return createDeviation('must be a finite number');
-  return value < min ? createDeviation(`must be at least ${min}`) : undefined;
+  if (value < min) return createDeviation(`must be at least ${min}`);
+  return value > max ? createDeviation(`must be at most ${max}`) : undefined;
 }
 
 function findListDeviation(itemShape: Shape, max: number, value: unknown): Deviation | undefined {
--- a/packages/types/src/shape.ts
+++ b/packages/types/src/shape.ts
@@ -1,8 +1,8 @@
-/** Description of a valid value, which `findShapeError` checks. `max` of a text or a list limits its length. */
+/** Description of a valid value, which `findShapeError` checks. `max` of a string or a list limits its length. */
 export type Shape =
   | { type: 'string'; max?: number }
-  /** A finite number, not below `min`. */
-  | { type: 'number'; min?: number }
+  /** A finite number from `min` to `max`. */
+  | { type: 'number'; min?: number; max?: number }
   /** A whole number that is represented exactly. */
   | { type: 'integer'; min: number }
   | { type: 'boolean' }
--- a/packages/types/src/shapes.ts
+++ b/packages/types/src/shapes.ts
@@ -15,6 +15,7 @@
   any,
   text: (max: number): Shape => ({ type: 'string', max }),
   numberFrom: (min: number): Shape => ({ type: 'number', min }),
+  numberBetween: (min: number, max: number): Shape => ({ type: 'number', min, max }),
   integerFrom: (min: number): Shape => ({ type: 'integer', min }),
   optional: (of: Shape): Shape => ({ type: 'optional', of }),
   nullable: (of: Shape): Shape => ({ type: 'nullable', of }),
