Limit what a single record of the log can do to the state

Callers would see: all processes end together, again and again, when the log has a job record with billions of tasks or occurrences; or a task that never runs again, or a cell that no process can claim, after a run number or token near the largest whole number.

Cause: the state allocated whatever a job record asked for, and took any higher token or run number, although the next one is counted up by one.

A token or run number has no effect when it exceeds the offset of its record by more than 2^32, a bound that the next ones never reach and that is the same for all replicas.

--- a/packages/cell-state/src/cell-state.test.ts
+++ b/packages/cell-state/src/cell-state.test.ts
@@ -162,6 +162,35 @@
   expect(state.claim?.owner).toEqual('a');
 });
 
+// Guards against a cell that no process can claim again: the next token or run number after the largest number is
+// the same number. Tokens and runs are counted up by one for each record.
+test('the state ignores a token or a run number that is far above the number of records', () => {
+  const state = CellState.create(1_000);
+  expect(state.apply(createClaim(Number.MAX_SAFE_INTEGER))).toEqual(false);
+  expect(state.apply(createClaim(2 ** 40))).toEqual(false);
+  expect(state.apply(createClaim(2))).toEqual(true);
+  state.apply({ kind: 'job', job: createJob() });
+  expect(state.apply(createStart(0, Number.MAX_SAFE_INTEGER))).toEqual(false);
+  expect(state.apply(createStart(0, 1))).toEqual(true);
+});
+
+// Guards against all processes running out of memory because of one record.
+test('the state rejects a job with more tasks, steps or occurrences than any process accepts', () => {
+  const state = CellState.create(1_000);
+  for (const job of [
+    createJob({ count: 30_000 }),
+    createJob({ count: 2 ** 40 }),
+    { ...createJob(), occurrences: 2 ** 40 },
+    { ...createJob(), occurrences: 15_000 },
+    { ...createJob({ count: 3 }), occurrences: 9_000 },
+    { ...createJob(), steps: Array.from({ length: 300 }, () => plainStep) },
+  ])
+    expect(() => state.apply({ kind: 'job', job })).toThrow('exceeds');
+  expect(state.jobs.size).toEqual(0);
+  expect(state.nextOffset).toEqual(6);
+  expect(state.apply({ kind: 'job', job: createJob({ count: 20_000 }) })).toEqual(true);
+});
+
 // Guards against a pending count that differs from the number of jobs that wait for their first
 // start.
 test('the state lowers the pending count when a job begins and not when it ends later', () => {
--- a/packages/cell-state/src/cell-state.ts
+++ b/packages/cell-state/src/cell-state.ts
@@ -2,6 +2,7 @@
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import { CellJobState } from '@acaciahoist/cell-types/cell-job-state';
+import { jobLimits } from '@acaciahoist/cell-types/job-limits';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import type { CellOwnerClaim } from './cell-owner-claim.js';
 import type { EndedJob } from './ended-job.js';
@@ -17,6 +18,13 @@
  */
 const MAX_INCARNATIONS = 4_096;
 
+/**
+ * Maximum number by which a token or a run number may exceed the offset of its record. Each new one is one above
+ * the newest, so that those of this system never exceed the number of records; above the largest number of
+ * all there would be no next one.
+ */
+const MAX_LEAD = 2 ** 32;
+
 /**
  * Minimum time in ms between two renewals of an owner of an earlier version, which records no time of
  * its term.
@@ -61,14 +69,18 @@
 
   private constructor(private readonly retentionMs: number) {}
 
-  /** Applies the record at `nextOffset`. Returns false when the record has no effect. */
+  /**
+   * Applies the record at `nextOffset`. Returns false when the record has no effect. Throws for a job beyond the
+   * limits, which has no effect either.
+   */
   apply(record: CellRecord): boolean {
     const offset = this.nextOffset;
     this.nextOffset += 1;
     switch (record.kind) {
       case 'claim':
         this.advanceLogTime(record.wallMs);
-        if (record.token <= (this.claim?.token ?? 0)) return false;
+        if (record.token <= (this.claim?.token ?? 0) || record.token > offset + MAX_LEAD)
+          return false;
         this.termStartMs = this.cellTimeMs;
         this.lastTimeOffset = offset;
         this.claim = {
@@ -90,6 +102,7 @@
       case 'cancel':
         return this.finishJob(record.id, 'cancelled');
       case 'start':
+        if (record.run > offset + MAX_LEAD) return false;
         return this.placeTask(record.task, record.run, record.worker);
       case 'life':
         return this.recordIncarnation(record.worker, record.born);
@@ -159,6 +172,7 @@
 
   private acceptJob(job: CellJob, offset: number): boolean {
     if (this.jobs.has(job.id) || this.ended.has(job.id)) return false;
+    checkLimits(job);
     const occurrences = Array.from({ length: job.occurrences }, () =>
       job.steps.map((step): StepProgress => ({
         tasks: Array.from({ length: step.count }, () => ({
@@ -349,3 +363,16 @@
     }
   }
 }
+
+/** Throws for a job that no process accepts, since it could exhaust the memory of every process. */
+function checkLimits({ id, steps, occurrences }: CellJob): void {
+  const tasks = steps.reduce((sum, { count }) => sum + count, 0) * occurrences;
+  if (
+    steps.length > jobLimits.steps ||
+    occurrences > jobLimits.occurrences ||
+    tasks > jobLimits.tasks
+  )
+    throw new Error(
+      `job ${id} exceeds the limits: ${steps.length} steps, ${occurrences} occurrences, ${tasks} tasks`,
+    );
+}
