Wait for the answer of a busy owner before a recovery fault begins

Cause: the cell asked each process once, and a process that did not answer within 500 ms counted as one that owns nothing.

Fix: the cell reads again while a process gives no answer, for at most two leases.

--- a/packages/bench/src/recovery/recovery-cell.ts
+++ b/packages/bench/src/recovery/recovery-cell.ts
@@ -19,6 +19,9 @@
 /** Longer than the interval between two readiness polls, with a margin for a busy machine. */
 const DRAIN_DELAY_MS = 500;
 const DATA_CENTRE = 'dc-a';
+const HEALTH_TIMEOUT_MS = 500;
+/** Two leases of 2.5 s: the partition of an owner that does not answer for so long has another owner. */
+const OWNER_ANSWER_TIMEOUT_MS = 5_000;
 
 /**
  * The cell of a recovery run: the entry processes are child processes, and the simulated platform runs in
@@ -134,19 +137,24 @@
 
   /** Index of the owner by partition, as the running processes report in `/health`. */
   async owners(): Promise<ReadonlyMap<string, number>> {
-    const owners = new Map<string, number>();
-    for (const index of this.processAddresses.keys()) {
-      if (this.processes.get(index)?.running !== true) continue;
-      const answer = await this.call(index, 'GET', '/health', undefined, {}, 500);
-      if (answer.type !== 'reply') continue;
-      const { partitions } = answer.body as { partitions: { partition: string }[] };
-      for (const { partition } of partitions) owners.set(partition, index);
-    }
-    return owners;
+    return (await this.readOwners()).owners;
   }
 
+  /**
+   * Index of the owner of the partition. Reads again while a process does not answer in time; throws when all
+   * have answered and none is the owner.
+   */
   async ownerOf(partition: string): Promise<number> {
-    const owner = (await this.owners()).get(partition);
+    let owner: number | undefined;
+    await this.waitUntil(
+      `the answers of all processes, of which none reports partition ${partition}`,
+      async () => {
+        const { owners, isComplete } = await this.readOwners();
+        owner = owners.get(partition);
+        return owner !== undefined || isComplete;
+      },
+      OWNER_ANSWER_TIMEOUT_MS,
+    );
     if (owner === undefined) throw new Error(`partition ${partition} has no owner`);
     return owner;
   }
@@ -231,6 +239,24 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** The owners by partition; `isComplete` is false when a running process did not answer in time. */
+  private async readOwners(): Promise<{
+    owners: ReadonlyMap<string, number>;
+    isComplete: boolean;
+  }> {
+    const owners = new Map<string, number>();
+    let isComplete = true;
+    for (const index of this.processAddresses.keys()) {
+      if (this.processes.get(index)?.running !== true) continue;
+      const answer = await this.call(index, 'GET', '/health', undefined, {}, HEALTH_TIMEOUT_MS);
+      if (answer.type === 'timeout') isComplete = false;
+      if (answer.type !== 'reply') continue;
+      const { partitions } = answer.body as { partitions: { partition: string }[] };
+      for (const { partition } of partitions) owners.set(partition, index);
+    }
+    return { owners, isComplete };
+  }
+
   private addressesOf(index: number): { listen: string; address: string } {
     const addresses = this.processAddresses[index];
     if (addresses === undefined) throw new Error(`the cell has no entry process ${index}`);
