Start no armed task that the owner has given up

Cause: the append that arms the task has an unknown result. At the start time the owner knows no armed task, cannot record an assignment, and gives the task up. When the log answers again, the record of the armed task takes effect, and the owner, still holding, starts it, since the record of its end waits in the outbox. With its lease back it also starts the task that replaces it.

Fix: the owner remembers the tasks it has ended until the record of their end is durable, and neither starts them while it holds nor sends their start again. The record of the end follows that of the armed task in the log, so that no other owner starts it after it has read both.

--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -251,3 +251,22 @@
   expect(worker.startedTaskIds).toEqual([]);
   expect(repeated.isOk && repeated.value).toEqual({ delegatedTo: 'other' });
 });
+
+// Guards against a non-repeatable job that runs twice: the record of its armed task takes effect after the owner has
+// given the task up, and the owner starts the task while it holds, and another one for the job when it is leased again.
+test('the partition owner starts a job once when its armed task takes effect after the owner gave it up', async () => {
+  const { clock, ledger, worker, advance, submit } = createOwner();
+  await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(1_000);
+  ledger.lateCommits = 1;
+  ledger.refusesCommits = true;
+  await advance(8_000);
+  ledger.currentAuthority = 'holding';
+  ledger.applyLateEntries();
+  expect(ledger.state().armed.size).toEqual(1);
+  await advance(1_000);
+  ledger.currentAuthority = 'leased';
+  ledger.refusesCommits = false;
+  await advance(5_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -61,6 +61,8 @@
   private readonly services: ServiceReconciler;
   /** Tasks that were sent a stop and have not ended. */
   private readonly stoppingTaskIds = new Set<string>();
+  /** Tasks that this owner has ended and whose end is not durable yet. */
+  private readonly unrecordedEndTaskIds = new Set<string>();
   /** Jobs whose cancel request was appended with an unknown result. */
   private readonly unknownCancelJobIds = new Set<string>();
   /** Workers of the platform's list, and workers outside it that still have tasks. */
@@ -79,6 +81,9 @@
       clock,
       commit: async (entries) => {
         const result = await ledger.commit(entries);
+        if (result.isOk)
+          for (const { taskId } of selectTaskEnds(entries))
+            this.unrecordedEndTaskIds.delete(taskId);
         this.waiters.notifyAll();
         return result;
       },
@@ -123,6 +128,7 @@
       startDeadlineMs: options.startDeadlineMs,
       retryDelayMs: options.roundDelayMs,
       isStopped: () => this.isStopped,
+      hasEnded: (taskId) => this.unrecordedEndTaskIds.has(taskId),
       onRefused: (taskId) => {
         this.refuseStart(taskId);
       },
@@ -567,6 +573,7 @@
       return { type: 'job-ended', jobId, outcome, reason, atMs };
     });
     if (facts.length + entries.length === 0) return;
+    for (const { taskId } of selectTaskEnds(facts)) this.unrecordedEndTaskIds.add(taskId);
     this.outbox.add(...facts, ...entries);
     this.requestRound();
   }
@@ -590,6 +597,10 @@
   }
 }
 
+function selectTaskEnds(entries: readonly JournalEntry[]) {
+  return entries.filter((entry) => entry.type === 'task-ended');
+}
+
 function createNotFoundFailure(jobId: string): Failure {
   return Failure.create(
     ErrorKind.notFound,
--- a/packages/partition-owner/src/task-starter.ts
+++ b/packages/partition-owner/src/task-starter.ts
@@ -26,6 +26,8 @@
   /** Delay before the start of an armed task that was not sent is sent again. */
   retryDelayMs: number;
   isStopped: () => boolean;
+  /** True when this owner has ended the task, even if the journal does not contain its end yet. */
+  hasEnded: (taskId: string) => boolean;
   /** Called when the task certainly did not start. */
   onRefused: (taskId: string) => void;
   /** Called when the worker has the task. */
@@ -72,9 +74,12 @@
    * `holding`.
    */
   startDueArmedTasks(): void {
-    const { ledger, clock, tasks } = this.options;
+    const { ledger, clock, tasks, hasEnded } = this.options;
     const state = ledger.state();
     for (const { taskId, jobId, worker, startAtMs } of state.armed.values()) {
+      // The record of an armed task may take effect after the owner gave the task up, and the record of its end
+      // follows only with the lease.
+      if (hasEnded(taskId)) continue;
       const job = state.jobs.get(jobId);
       const placedTask = tasks.find(taskId);
       const isInProgress =
@@ -148,7 +153,7 @@
    * task, so the start of an armed task is sent again until the worker replies or its leases expire.
    */
   private settleUnsent(start: StartDecision): void {
-    const { clock, ledger, tasks, retryDelayMs } = this.options;
+    const { clock, ledger, tasks, retryDelayMs, hasEnded } = this.options;
     const { taskId, worker } = start;
     // A report that arrived in the meantime has shown that a predecessor started the task.
     if (this.isRunning(taskId)) {
@@ -160,7 +165,8 @@
       return;
     }
     clock.after(retryDelayMs, () => {
-      const isUnsettled = tasks.find(taskId)?.state !== 'running' && this.isArmed(taskId);
+      const isUnsettled =
+        tasks.find(taskId)?.state !== 'running' && this.isArmed(taskId) && !hasEnded(taskId);
       const isOwner = !this.options.isStopped() && ledger.authority() === 'leased';
       if (isUnsettled && isOwner) void this.sendStarts(worker, [start]);
     });
--- a/packages/partition-owner/src/test-ledger.ts
+++ b/packages/partition-owner/src/test-ledger.ts
@@ -19,6 +19,8 @@
   unknownCommits = 0;
   /** Number of next commits that return an unknown result and take effect before the commit after them. */
   lateCommits = 0;
+  /** True while the log appends nothing; late commits come first. */
+  refusesCommits = false;
   private lateEntries: JournalEntry[] = [];
   private readonly journal = createState();
 
@@ -43,12 +45,25 @@
       this.lateEntries.push(...entries);
       return Promise.resolve(Result.err(Failure.create('append-unknown', 'no reply yet')));
     }
-    for (const entry of [...this.lateEntries.splice(0), ...entries]) {
-      this.entries.push(entry);
-      applyEntry(this.journal, defaultPolicy, entry);
+    if (this.refusesCommits) {
+      return Promise.resolve(Result.err(Failure.create('log-unavailable', 'not appended')));
     }
+    this.applyLateEntries();
+    this.apply(entries);
     if (this.unknownCommits === 0) return Promise.resolve(Result.ok(undefined));
     this.unknownCommits -= 1;
     return Promise.resolve(Result.err(Failure.create('append-unknown', 'no reply')));
   }
+
+  /** Lets the commits take effect that returned an unknown result and have not. */
+  applyLateEntries(): void {
+    this.apply(this.lateEntries.splice(0));
+  }
+
+  private apply(entries: readonly JournalEntry[]): void {
+    for (const entry of entries) {
+      this.entries.push(entry);
+      applyEntry(this.journal, defaultPolicy, entry);
+    }
+  }
 }
