Show with a failing test that an owner is leased after a suspension

Callers of the product's own interface could be served by two owners of a partition. The lease is measured on the monotonic clock alone, which does not count a suspension of the machine, while the successor waits on its own clock.

The test process can be suspended, in which its monotonic clock stops.

--- a/packages/ownership/src/ownership.test.ts
+++ b/packages/ownership/src/ownership.test.ts
@@ -96,6 +96,20 @@
   expect(await cluster.findViolations()).toEqual([]);
 });
 
+test('an owner that was suspended past its lease is not leased when it resumes', async () => {
+  // Guards against acting beside a successor: the monotonic clock does not count the time of a suspension.
+  const cluster = TestCluster.create();
+  const a = await cluster.startOwner('a');
+  const b = cluster.start('b');
+  await cluster.advanceTime(100);
+  a.process.suspend();
+  void b.owner.claim();
+  await cluster.advanceTime(4_000);
+  expect(b.owner.authority()).toEqual('leased');
+  a.process.resume();
+  expect(a.owner.authority()).not.toEqual('leased');
+});
+
 test('entries that the claim of a successor made invalid are reported as not appended', async () => {
   // Guards against `append-unknown` for entries although the journal shows that they did not take effect,
   // because the claim of the successor precedes them.
--- a/packages/ownership/src/test-process.ts
+++ b/packages/ownership/src/test-process.ts
@@ -4,8 +4,8 @@
 import type { LogStream } from '@acaciahoist/types/log-stream';
 
 /**
- * A process that can be paused, for tests. While it is paused, it receives no timer and no reply from
- * the log. Its monotonic clock continues, at the given rate.
+ * A process that can be paused or suspended, for tests. Meanwhile it receives no timer and no reply from the
+ * log. Its monotonic clock, which has the given rate, continues in a pause and stops in a suspension.
  */
 export class TestProcess {
   static create(base: Clock, rate = 1): TestProcess {
@@ -14,11 +14,18 @@
 
   readonly clock: Clock;
   private paused = false;
+  /** Time of the base clock at which the current suspension began; undefined without one. */
+  private suspendedSinceMs: number | undefined;
+  /** Total duration in ms of the suspensions that have ended. */
+  private suspendedMs = 0;
   private deferredCallbacks: (() => void)[] = [];
 
-  private constructor(base: Clock, rate: number) {
+  private constructor(
+    private readonly base: Clock,
+    rate: number,
+  ) {
     this.clock = {
-      monotonicMs: () => base.monotonicMs() * rate,
+      monotonicMs: () => ((this.suspendedSinceMs ?? base.monotonicMs()) - this.suspendedMs) * rate,
       wallMs: () => base.wallMs(),
       after: (delayMs, run) => {
         let isCancelled = false;
@@ -43,8 +50,16 @@
     this.paused = true;
   }
 
+  suspend(): void {
+    this.paused = true;
+    this.suspendedSinceMs ??= this.base.monotonicMs();
+  }
+
   resume(): void {
     this.paused = false;
+    if (this.suspendedSinceMs !== undefined)
+      this.suspendedMs += this.base.monotonicMs() - this.suspendedSinceMs;
+    this.suspendedSinceMs = undefined;
     for (const run of this.deferredCallbacks.splice(0)) run();
   }
 
