--- a/packages/journal/src/journal.test.ts
+++ b/packages/journal/src/journal.test.ts
@@ -313,3 +313,22 @@
   const encoded = encodeRecord(journal.snapshot(0, jobs + 2));
   expect(encoded.isOk).toEqual(true);
 });
+
+test('the journal keeps a key for its lifetime when the wall clock of one process is days ahead', () => {
+  // Guards against a second execution of a request: the counts of any process carry its wall time, and one entry
+  // with a time far ahead removes keys whose lifetime has not passed.
+  const { journal } = replay([
+    createClaim('a', -1),
+    createCommit(0, 1, createKeyClaimed('k', DAY_MS), createKeyDone('k', DAY_MS)),
+    createCommit(0, 2, {
+      type: 'requests-counted',
+      process: 'b',
+      incarnation: '1',
+      sequence: 1,
+      rows: [],
+      atMs: 5 * DAY_MS,
+    }),
+    createCommit(0, 3, createKeyClaimed('k', DAY_MS + HOUR_MS)),
+  ]);
+  expect(journal.state().keys.get('k')?.outcome).toEqual('completed');
+});
