--- a/packages/cell-process/src/worker-directory.ts
+++ b/packages/cell-process/src/worker-directory.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@acaciahoist/clock';
 import { KeyedFollower } from '@acaciahoist/cell-log/keyed-follower';
+import { RecordFaultLog } from '@acaciahoist/cell-log/record-fault-log';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import type { EventLog } from '@acaciahoist/types/event-log';
@@ -17,6 +18,8 @@
 interface EntryListener {
   /** An entry that is new, changed or read again. */
   onEntry: (entry: WorkerEntry) => void;
+  /** An entry that cannot be decoded; for a known worker it replaces a readable one. */
+  onUnreadable: (id: string) => void;
   onRemoved: (id: string) => void;
   /** The ids of all entries in the store, after these were read in full. */
   onReloaded: (ids: ReadonlySet<string>) => void;
@@ -43,11 +46,19 @@
     return new WorkerDirectory(options);
   }
 
-  private readonly entries = new Map<string, WorkerEntry>();
+  /**
+   * The newest readable entry of each worker, and whether it is the newest entry. A worker whose newest entry is
+   * unreadable may have runs, which a new owner must find.
+   */
+  private readonly entries = new Map<string, { entry: WorkerEntry; isNewest: boolean }>();
   private listener: EntryListener | undefined;
   private follower: KeyedFollower | undefined;
 
-  private constructor(private readonly options: Options) {}
+  private readonly faultLog: RecordFaultLog;
+
+  private constructor(private readonly options: Options) {
+    this.faultLog = RecordFaultLog.create(options);
+  }
 
   /** Starts to follow the entries; does nothing if they are followed already. */
   startFollowing(): void {
@@ -66,10 +77,8 @@
       onRecord: (record) => {
         this.applyEntry(record.key, record.value);
       },
-      onReloaded: (records) => {
-        const ids = new Set(records.map((record) => record.key));
+      onReloaded: (ids) => {
         for (const id of this.entries.keys()) if (!ids.has(id)) this.entries.delete(id);
-        for (const record of records) this.applyEntry(record.key, record.value);
         this.listener?.onReloaded(ids);
       },
     });
@@ -90,7 +99,11 @@
   attach(listener: EntryListener): void {
     this.startFollowing();
     this.listener = listener;
-    for (const entry of this.entries.values()) listener.onEntry(entry);
+    for (const { entry, isNewest } of this.entries.values())
+      this.callListener(entry, () => {
+        listener.onEntry(entry);
+        if (!isNewest) listener.onUnreadable(entry.id);
+      });
     this.follower?.reloadNow();
   }
 
@@ -105,13 +118,38 @@
       this.listener?.onRemoved(id);
       return;
     }
-    const entry = this.options.decode(id, value);
+    const entry = this.decode(id, value);
     if (entry === undefined) {
-      const { log } = this.options;
-      log('warn', 'worker-entry-unreadable', { worker: id, bytes: value.byteLength });
+      const known = this.entries.get(id);
+      if (known !== undefined) known.isNewest = false;
+      this.listener?.onUnreadable(id);
       return;
     }
-    this.entries.set(id, entry);
-    this.listener?.onEntry(entry);
+    this.entries.set(id, { entry, isNewest: true });
+    this.callListener(entry, () => this.listener?.onEntry(entry));
+  }
+
+  /** Decodes an entry; logs one that is unreadable and returns undefined. */
+  private decode(id: string, value: Uint8Array): WorkerEntry | undefined {
+    let error = 'malformed';
+    try {
+      const entry = this.options.decode(id, value);
+      if (entry !== undefined) return entry;
+    } catch (thrown) {
+      error = String(thrown);
+    }
+    const bytes = value.byteLength;
+    this.faultLog.write(id, 'warn', 'worker-entry-unreadable', { worker: id, bytes, error });
+    return undefined;
+  }
+
+  /** Calls the listener for an entry. An entry for which it throws affects no other worker. */
+  private callListener(entry: WorkerEntry, call: () => void): void {
+    try {
+      call();
+    } catch (thrown) {
+      const fields = { worker: entry.id, address: entry.address, error: String(thrown) };
+      this.faultLog.write(entry.id, 'error', 'worker-entry-not-used', fields);
+    }
   }
 }
