Count the remaining time of a draining worker from when its entry was read

Users would see work lost: a task with checkpoints ran until its worker left, although it could have been stopped before and resumed elsewhere.

Cause: an owner counted the remaining time from the moment at which an entry reached it, and only when the entry changed. A successor that had read the entry as a standby took the worker for one that never leaves. The class: a bound of the form 'at least' that is counted from a later event than the stated one.

Fix: the worker directory keeps the time at which an entry was first read, and passes it to the owner for new and for known workers.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -277,6 +277,29 @@
   expect(cell.listUnfinishedJobs()).toEqual([]);
 });
 
+// Guards against the same loss after a change of the owner: the worker announced that it leaves to the former one.
+test('a successor stops tasks that can resume before a worker leaves that was draining at its claim', async () => {
+  const cell = await startCell(12);
+  const job = createJob(1, [{ count: 2, estimateMs: 12_000, checkpointing: true }]);
+  const submitted = cell.submit(job, 'p0');
+  await cell.advance(500);
+  expect(await submitted).toEqual('accepted');
+  const started = cell.history.find((event) => event.kind === 'started');
+  const worker = cell.workers.get(started?.worker ?? '');
+  if (worker === undefined) throw new Error('no run started');
+  cell.publishWorker({ ...worker.entry, draining: true, leavesInMs: 5_000 });
+  // The standbys read the entry, so that the successor knows it when it becomes owner.
+  await cell.advance(1_200);
+  cell.killProcess(cell.findOwnerName() ?? '');
+  await cell.advance(3_800);
+  worker.crash();
+  await cell.advance(18_000);
+  const lostRuns = cell.history.filter((event) => event.how === 'lost');
+  expect(lostRuns).toEqual([]);
+  expect(cell.listViolations()).toEqual([]);
+  expect(cell.listUnfinishedJobs()).toEqual([]);
+});
+
 // Guards against starts that are delayed by the whole timeout of an append whose reply is lost.
 test('the owner starts tasks within 1 s on average while replies of the store are lost', async () => {
   const cell = await startCell(12);
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -156,8 +156,11 @@
     this.adviceScheduler.addHelper(name, requestAdvice);
   }
 
-  /** Handles the published entry of a worker, new or changed. */
-  updateWorker(entry: WorkerEntry): void {
+  /**
+   * Handles the published entry of a worker, new or changed, which was first read at the monotonic time
+   * `readAtMs`.
+   */
+  updateWorker(entry: WorkerEntry, readAtMs: number): void {
     const session = this.sessions.get(entry.id);
     if (session !== undefined && session.entry.born > entry.born) return;
     if (session === undefined || session.entry.born < entry.born) {
@@ -165,14 +168,12 @@
       const client = this.options.connect(entry);
       if (session !== undefined)
         this.endIncarnation(session, 'a newer incarnation has published an entry');
-      this.openSession(entry, client);
+      this.openSession(entry, client, readAtMs);
       return;
     }
     if (session.entry.draining !== entry.draining)
       this.options.log('info', 'worker-draining', { worker: entry.id, draining: entry.draining });
-    // The same remaining time as before means that the entry was read again and not published anew.
-    if (entry.draining && entry.leavesInMs > 0 && entry.leavesInMs !== session.entry.leavesInMs)
-      session.leavesAtMs = this.options.clock.monotonicMs() + entry.leavesInMs;
+    setLeavingTime(session, entry, readAtMs);
     session.entry = { ...entry, address: session.entry.address };
     session.missingSinceMs = 0;
     session.isEntryReadable = true;
@@ -260,7 +261,7 @@
   }
 
   /** Creates the session for the entry; its hold calls start with one of the next batches. */
-  private openSession(entry: WorkerEntry, client: WorkerClient): void {
+  private openSession(entry: WorkerEntry, client: WorkerClient, readAtMs: number): void {
     const { clock, log, token, lastAppendAgeMs, loopDelayMs } = this.options;
     const session = WorkerSession.create({
       clock,
@@ -297,6 +298,7 @@
         );
       },
     });
+    setLeavingTime(session, entry, readAtMs);
     this.sessions.set(entry.id, session);
     this.unconnectedSessions.push(session);
     this.scheduleNextBatch();
@@ -514,3 +516,8 @@
     schedule();
   }
 }
+
+/** Sets when a draining worker may leave, if its entry says so; the remaining time was read at `readAtMs`. */
+function setLeavingTime(session: WorkerSession, entry: WorkerEntry, readAtMs: number): void {
+  if (entry.draining && entry.leavesInMs > 0) session.leavesAtMs = readAtMs + entry.leavesInMs;
+}
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -92,8 +92,8 @@
     this.writer.start();
     this.owner.start();
     this.options.workers.attach({
-      onEntry: (entry) => {
-        this.owner.updateWorker(entry);
+      onEntry: (entry, readAtMs) => {
+        this.owner.updateWorker(entry, readAtMs);
       },
       onUnreadable: (id) => {
         this.owner.markEntryUnreadable(id);
--- a/packages/cell-process/src/worker-directory.ts
+++ b/packages/cell-process/src/worker-directory.ts
@@ -16,8 +16,8 @@
 
 /** Receives the entries while this process owns the cell. */
 interface EntryListener {
-  /** An entry that is new, changed or read again. */
-  onEntry: (entry: WorkerEntry) => void;
+  /** An entry that is new, changed or read again; it was first read at the monotonic time `readAtMs`. */
+  onEntry: (entry: WorkerEntry, readAtMs: number) => void;
   /** An entry that cannot be decoded; for a known worker it replaces a readable one. */
   onUnreadable: (id: string) => void;
   onRemoved: (id: string) => void;
@@ -37,6 +37,14 @@
 /** Interval in ms at which a standby reads all entries again. */
 const STANDBY_RELOAD_INTERVAL_MS = 10_000;
 
+interface KnownEntry {
+  entry: WorkerEntry;
+  /** Monotonic time at which the entry was read first. */
+  readAtMs: number;
+  /** False when an unreadable entry has followed it. */
+  isNewest: boolean;
+}
+
 /**
  * Follows the topic of the worker entries and keeps the newest entry of each worker. Standbys follow it too:
  * a new owner that first had to read the entries of hundreds of workers would start no tasks until then.
@@ -50,7 +58,7 @@
    * The newest readable entry of each worker, and whether it is the newest entry. A worker whose newest entry is
    * unreadable may have runs, which a new owner must find.
    */
-  private readonly entries = new Map<string, { entry: WorkerEntry; isNewest: boolean }>();
+  private readonly entries = new Map<string, KnownEntry>();
   private listener: EntryListener | undefined;
   private follower: KeyedFollower | undefined;
 
@@ -99,9 +107,9 @@
   attach(listener: EntryListener): void {
     this.startFollowing();
     this.listener = listener;
-    for (const { entry, isNewest } of this.entries.values())
+    for (const { entry, readAtMs, isNewest } of this.entries.values())
       this.callListener(entry, () => {
-        listener.onEntry(entry);
+        listener.onEntry(entry, readAtMs);
         if (!isNewest) listener.onUnreadable(entry.id);
       });
     this.follower?.reloadNow();
@@ -119,14 +127,18 @@
       return;
     }
     const entry = this.decode(id, value);
+    const known = this.entries.get(id);
     if (entry === undefined) {
-      const known = this.entries.get(id);
       if (known !== undefined) known.isNewest = false;
       this.listener?.onUnreadable(id);
       return;
     }
-    this.entries.set(id, { entry, isNewest: true });
-    this.callListener(entry, () => this.listener?.onEntry(entry));
+    // The same remaining time as before means that the entry was read again and not published anew.
+    const isReadAgain =
+      known?.entry.born === entry.born && known.entry.leavesInMs === entry.leavesInMs;
+    const readAtMs = isReadAgain ? known.readAtMs : this.options.clock.monotonicMs();
+    this.entries.set(id, { entry, readAtMs, isNewest: true });
+    this.callListener(entry, () => this.listener?.onEntry(entry, readAtMs));
   }
 
   /** Decodes an entry; logs one that is unreadable and returns undefined. */
