Ignore reports of more cores than any machine has

Callers would see: the owner hands the cell over every 8 s, and processes that start hold no replica and defer their claims, because another process or the owner hint named a machine with 1e300 cores.

Cause: `MachineRanking` compared any reported number with its own.

Evidence: on the code before, the new test failed ("[true, 1e+300] is not equal to [false, 2]").

Fix: a report above 4,096 cores is ignored.

Result: the tests of cell-process pass.

--- a/packages/cell-process/src/machine-ranking.test.ts
+++ b/packages/cell-process/src/machine-ranking.test.ts
@@ -20,3 +20,12 @@
   ranking.clearReportedLargestCores();
   expect(ranking.isOutranked()).toEqual(false);
 });
+
+// Guards against an owner that hands the cell over again and again, and against processes that never claim it,
+// because of a machine that does not exist.
+test('a machine is not outranked by a report of more cores than any machine has', () => {
+  const ranking = MachineRanking.create(ManualClock.create(), 2);
+  ranking.addReport('a', { cores: 1e300, dataCentre: 'x' });
+  ranking.setReportedLargestCores(1e300);
+  expect([ranking.isOutranked(), ranking.largestCores()]).toEqual([false, 2]);
+});
--- a/packages/cell-process/src/machine-ranking.ts
+++ b/packages/cell-process/src/machine-ranking.ts
@@ -8,6 +8,9 @@
  */
 const OUTRANKED_FACTOR = 1.5;
 
+/** A report of more cores is ignored; no machine has as many. */
+const MAX_CORES = 4_096;
+
 interface Machine {
   cores: number;
   dataCentre: string;
@@ -34,11 +37,13 @@
 
   /** Records that the process at the address has reported itself. */
   addReport(address: string, machine: Machine): void {
+    if (machine.cores > MAX_CORES) return;
     this.machines.set(address, { ...machine, atMs: this.clock.monotonicMs() });
   }
 
   /** Records the cores of the largest machine, as the owner reports them. */
   setReportedLargestCores(cores: number): void {
+    if (cores > MAX_CORES) return;
     this.reportedLargest = { cores, atMs: this.clock.monotonicMs() };
   }
 
