Check the end that a reply of the owner names against its records

Callers would see: a process that reads the log through the owner without a pause, or counts as current although the owner is behind it, when a reply names another end than its records reach.

Cause: `CellLogReader` passed the end on. The replica reads on at once while the log ends later than its state, and takes any lower end for the present one.

Evidence: on the code before, the four new cases of cell-log-reader.test.ts failed ("records" instead of a read of the store).

--- a/packages/cell-process/src/cell-log-reader.test.ts
+++ b/packages/cell-process/src/cell-log-reader.test.ts
@@ -107,3 +107,14 @@
   const result = await read;
   expect(result.kind === 'records' && result.ageMs).toEqual(Number.POSITIVE_INFINITY);
 });
+
+// Guards against reads without a pause when a reply claims that the log goes on after the records that it has, and
+// against a replica that counts as current although the owner is behind it.
+for (const end of [0, 6, 8, 2 ** 40])
+  test(`the log reader reads the store when a reply without records from offset 7 on names the end ${end}`, async () => {
+    const { reader, reply } = createWithManualReply();
+    const read = reader.read('cell', 7, 400);
+    reply({ end, records: [], ageMs: 0, heldMs: 0 });
+    // The store of this test fails.
+    expect((await read).kind).toEqual('failed');
+  });
--- a/packages/cell-process/src/cell-log-reader.ts
+++ b/packages/cell-process/src/cell-log-reader.ts
@@ -46,14 +46,18 @@
     const call = { from, waitMs: Math.min(waitMs, MAX_OWNER_WAIT_MS) };
     const sentAt = Instant.create(clock);
     const reply = await peers.call(address, 'read-log', call, call.waitMs + ROUND_TRIP_TIMEOUT_MS);
-    if (reply.isOk) {
+    // An owner sends all records up to the end of its replica, or none if its replica ends before `from`.
+    if (reply.isOk && reply.value.end === from + reply.value.records.length) {
       this.setOwnerAnswering(address, true, '');
       const { end, records, heldMs = 0 } = reply.value;
       // The stated age is that at the time of the reply; the round trip without the owner's wait is added.
       const ageMs = wireAge.decode(reply.value.ageMs) + Math.max(0, sentAt.ageMs() - heldMs);
       return { kind: 'records', end, first: from, records: [...records], ageMs };
     }
-    this.setOwnerAnswering(address, false, reply.error.message);
+    const reason = reply.isErr
+      ? reply.error.message
+      : `the reply names the end ${reply.value.end} and has ${reply.value.records.length} records from ${from} on`;
+    this.setOwnerAnswering(address, false, reason);
     this.readStoreUntilMs = clock.monotonicMs() + STORE_FALLBACK_MS;
     return store.read(topic, from, 0);
   }
