Reject odd numbers in messages between processes and in the owner hint

Callers would see: processes that never find the owner again. Negative ages make old pending counts and an old replica count as current; a negative delay makes a process call the owner without a pause.

Cause: the shapes accepted any finite number, and lists with missing items; the hint was checked for types only, so that NaN, infinite numbers and `standbys: [[]]` were accepted there.

Fix: tokens and offsets must be whole numbers, ages, delays and counts must not be negative, and pairs must be complete. The claim and the standbys have one shape for messages and the hint. An odd message fails the one call, an odd hint is ignored.

--- a/packages/cell-process/src/owner-hint.ts
+++ b/packages/cell-process/src/owner-hint.ts
@@ -1,6 +1,10 @@
 import { Packr } from 'msgpackr';
 import type { KeyedRecord } from '@acaciahoist/cell-types/keyed-record';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
+import { claimShape } from '@acaciahoist/peer-protocol/claim-shape';
+import { standbysShape } from '@acaciahoist/peer-protocol/standbys-shape';
+import { findShapeError } from '@acaciahoist/types/find-shape-error';
+import { shapes } from '@acaciahoist/types/shapes';
 
 /**
  * Content of the record in which the owner names the processes that a starting process can query instead of
@@ -12,6 +16,11 @@
   largestCores: number;
 }
 
+const hintShape = shapes.object({
+  claim: claimShape,
+  standbys: standbysShape,
+  largestCores: shapes.numberFrom(0),
+});
 const HINT_KEY = 'owner';
 const packr = new Packr({ useRecords: false, moreTypes: false });
 
@@ -42,21 +51,8 @@
 
 function decode(data: Uint8Array): OwnerHint | null {
   try {
-    const value = packr.unpack(data) as Partial<OwnerHint> | null;
-    const claim = value?.claim;
-    const isComplete =
-      typeof claim?.owner === 'string' &&
-      typeof claim.address === 'string' &&
-      typeof claim.token === 'number' &&
-      typeof value?.largestCores === 'number' &&
-      Array.isArray(value.standbys) &&
-      value.standbys.every(
-        (standby) =>
-          Array.isArray(standby) &&
-          typeof standby[0] === 'string' &&
-          typeof standby[1] === 'string',
-      );
-    return isComplete ? (value as OwnerHint) : null;
+    const value: unknown = packr.unpack(data);
+    return findShapeError(hintShape, value, 'hint') === undefined ? (value as OwnerHint) : null;
   } catch {
     // msgpackr throws on malformed bytes. A process without a hint reads the log instead.
     return null;
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -1,11 +1,24 @@
 import type { PeerCallType } from './peer-call-type.js';
 import type { Shape } from '@acaciahoist/types/shape';
 import { shapes } from '@acaciahoist/types/shapes';
+import { claimShape } from './claim-shape.js';
+import { standbysShape } from './standbys-shape.js';
 
-const { string, number, boolean, bytes, any, nullable, optional, list, object } = shapes;
+const {
+  string,
+  boolean,
+  bytes,
+  any,
+  numberFrom,
+  integerFrom,
+  nullable,
+  optional,
+  list,
+  tuple,
+  object,
+} = shapes;
 
-/** Limits on the standbys, processes, queues and records that a reply lists. */
-const MAX_STANDBYS = 64;
+/** Limits on the processes, queues and records that a reply lists. */
 const MAX_PROCESSES = 2_000;
 const MAX_QUEUES = 10_000;
 const MAX_RECORDS = 20_000;
@@ -17,24 +30,24 @@
 export const replyShapes: Readonly<Partial<Record<PeerCallType, Shape>>> = {
   'offer-help': object({
     life: string,
-    storeSilentMs: number,
-    largestCores: number,
-    loopDelayMs: number,
-    claim: nullable(object({ owner: string, address: string, token: number })),
-    standbys: list(list(string, 2), MAX_STANDBYS),
+    storeSilentMs: numberFrom(0),
+    largestCores: numberFrom(0),
+    loopDelayMs: numberFrom(0),
+    claim: nullable(claimShape),
+    standbys: standbysShape,
     others: list(string, MAX_PROCESSES),
     isStandby: nullable(boolean),
-    pending: nullable(list(list(any, 2), MAX_QUEUES)),
-    pendingAgeMs: optional(nullable(number)),
+    pending: nullable(list(tuple(string, integerFrom(0)), MAX_QUEUES)),
+    pendingAgeMs: optional(nullable(numberFrom(0))),
   }),
   'owner-changed': object({}),
   advise: object({ advice: any }),
   'relay-record': object({ outcome: string }),
   'relay-outcome': object({ outcome: string, isAbsent: boolean }),
   'read-log': object({
-    end: number,
+    end: integerFrom(0),
     records: list(bytes, MAX_RECORDS),
-    ageMs: optional(nullable(number)),
-    heldMs: optional(number),
+    ageMs: optional(nullable(numberFrom(0))),
+    heldMs: optional(numberFrom(0)),
   }),
 };
--- a/packages/peer-protocol/src/request-shapes.ts
+++ b/packages/peer-protocol/src/request-shapes.ts
@@ -1,8 +1,22 @@
 import type { PeerCallType } from './peer-call-type.js';
 import type { Shape } from '@acaciahoist/types/shape';
 import { shapes } from '@acaciahoist/types/shapes';
+import { claimShape } from './claim-shape.js';
 
-const { string, number, boolean, bytes, any, nullable, optional, list, oneOf, object } = shapes;
+const {
+  string,
+  number,
+  boolean,
+  bytes,
+  any,
+  numberFrom,
+  integerFrom,
+  nullable,
+  optional,
+  list,
+  oneOf,
+  object,
+} = shapes;
 
 /** Limits on the lists in a request body. */
 const MAX_OWNED_PARTITIONS = 256;
@@ -87,11 +101,11 @@
     result: oneOf('ended', 'not-sent', 'unknown'),
   }),
   'fence-slots': object({ partition: string, token: number }),
-  'offer-help': object({ address: string, cores: number, dataCentre: string }),
-  'owner-changed': object({ claim: object({ owner: string, address: string, token: number }) }),
+  'offer-help': object({ address: string, cores: numberFrom(0), dataCentre: string }),
+  'owner-changed': object({ claim: claimShape }),
   advise: object({ step: string, workers: list(string, MAX_ADVICE_WORKERS), timeoutMs: number }),
   'relay-record': object({ data: bytes }),
   'relay-outcome': object({ job: string }),
-  'read-log': object({ from: number, waitMs: number }),
+  'read-log': object({ from: integerFrom(0), waitMs: numberFrom(0) }),
   'read-configuration': object({}),
 };
