--- a/packages/cell-process/src/owner-writer.test.ts
+++ b/packages/cell-process/src/owner-writer.test.ts
@@ -43,3 +43,43 @@
   await renewed;
   expect(writer.lastAppendAgeMs()).toBeLessThan(100);
 });
+
+// Guards against an owner that writes no more snapshots after one that could not be encoded: processes that start
+// later lack the records that the log no longer has.
+test('the owner writer writes the next snapshot after one that failed with an error', async () => {
+  const clock = ManualClock.create(1_000_000);
+  const store = {
+    append: () => Promise.resolve({ kind: 'appended' as const, offset: 0 }),
+    readNewest: () => Promise.resolve(undefined),
+    encodeKeyed: () => Buffer.alloc(0),
+  };
+  const snapshots = SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined });
+  let attempts = 0;
+  snapshots.write = () => {
+    attempts += 1;
+    return Promise.reject(new RangeError('Maximum call stack size exceeded'));
+  };
+  const events: string[] = [];
+  const writer = OwnerWriter.create({
+    clock,
+    store,
+    log: (_level, event) => events.push(event),
+    topics: { cell: 'cell', snapshots: 'keyed.cell', hints: 'keyed.owner' },
+    token: 1,
+    snapshots,
+    state: () => CellState.create(1_000),
+    loopDelayMs: () => 0,
+    onFenced: () => undefined,
+    onAppended: () => undefined,
+  });
+  writer.start();
+  for (let elapsedMs = 0; elapsedMs < 13_000; elapsedMs += 100) {
+    clock.advance(100);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  writer.stop();
+  expect(attempts).toEqual(3);
+  expect(events.filter((event) => event === 'snapshot-not-written').length).toEqual(3);
+});
--- a/packages/cell-process/src/owner-writer.ts
+++ b/packages/cell-process/src/owner-writer.ts
@@ -146,11 +146,17 @@
     this.isWritingSnapshot = true;
     const { snapshots, state, log } = this.options;
     const offset = state().nextOffset;
-    const isWritten = await snapshots.write(state(), (records) =>
-      this.snapshotAppender.append(records),
-    );
-    if (!isWritten && !this.isStopped) log('warn', 'snapshot-not-written', { offset });
-    this.isWritingSnapshot = false;
+    try {
+      const isWritten = await snapshots.write(state(), (records) =>
+        this.snapshotAppender.append(records),
+      );
+      if (!isWritten && !this.isStopped) log('warn', 'snapshot-not-written', { offset });
+    } catch (error) {
+      // A state that cannot be encoded now may be at the next interval, when its jobs have ended.
+      log('error', 'snapshot-not-written', { offset, error: String(error) });
+    } finally {
+      this.isWritingSnapshot = false;
+    }
   }
 
   /** Calls `run` at the interval until `stop`; `timerIndex` is the place of the timer in `cancelTimers`. */
