--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -1,3 +1,4 @@
+import Result from 'true-myth/result';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
 import { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
@@ -8,6 +9,7 @@
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
 import { PaceReply } from '@acaciahoist/cell-types/pace-reply';
+import type { CellConfiguration } from '@acaciahoist/cell-types/cell-configuration';
 import type { StartReply } from '@acaciahoist/cell-types/start-reply';
 import { StopReply } from '@acaciahoist/cell-types/stop-reply';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
@@ -183,7 +185,12 @@
 
   /** Writes the entry of a worker to the store, as the worker does. */
   publishWorker(entry: WorkerEntry): void {
-    this.store.writeKey('keyed.servers', entry.id, Buffer.from(JSON.stringify(entry)));
+    this.publishText(entry.id, JSON.stringify(entry));
+  }
+
+  /** Writes any text as the entry of a worker to the store, as another program may do. */
+  publishText(id: string, text: string): void {
+    this.store.writeKey('keyed.servers', id, Buffer.from(text));
   }
 
   /** Removes the entry of a worker, as the platform does when the worker has been unreachable for some time. */
@@ -225,9 +232,7 @@
       dataCentre: this.getDataCentre(name),
       replicas: this.options.replicas ?? { maxSmallCellSize: 12, standbys: 4 },
       decodeConfiguration: (data) =>
-        JSON.parse(Buffer.from(data).toString()) as ReturnType<
-          Parameters<typeof CellProcess.create>[0]['decodeConfiguration']
-        >,
+        Result.ok(JSON.parse(Buffer.from(data).toString()) as CellConfiguration),
       decodeWorkerEntry: (_id, data) => JSON.parse(Buffer.from(data).toString()) as WorkerEntry,
       connect: (entry) => this.connect(name, incarnationName, clock, entry),
       advise: (step, workers) => this.advise(clock, step, workers),
@@ -456,13 +461,17 @@
     return ref && this.jobs.get(ref.job)?.steps[ref.step];
   }
 
-  /** Creates the client with which a process calls a worker; it loses calls while the two are disconnected. */
+  /**
+   * Creates the client with which a process calls a worker; it loses calls while the two are disconnected.
+   * Throws for an address that no URL can contain, as an HTTP client does.
+   */
   private connect(
     name: string,
     incarnationName: string,
     clock: PausableClock,
     entry: WorkerEntry,
   ): ReturnType<EmulatedWorker['createClient']> {
+    new URL(`http://${entry.address}`);
     const findClient = (): ReturnType<EmulatedWorker['createClient']> | undefined => {
       const worker = this.workers.get(entry.id);
       const isSameIncarnation = worker?.entry.born === entry.born;
--- a/packages/cell-log/src/snapshot-wait.ts
+++ b/packages/cell-log/src/snapshot-wait.ts
@@ -10,8 +10,8 @@
 }
 
 /**
- * Maximum wait in ms: a successor claims the cell within 2 s, and an owner writes its first snapshot
- * 4 s later, on a slow store within a few seconds more.
+ * Maximum wait in ms: a successor claims the cell within 2 s, and an owner writes a snapshot every
+ * 4 s, on a slow store a few seconds later.
  */
 const MAX_WAIT_MS = 10_000;
 /**
