--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -518,6 +518,23 @@
   expect(cell.listUnfinishedJobs()).toEqual([]);
 });
 
+// Guards against a cell that never starts again because another writer has damaged the snapshot while no process
+// runs that could write the next one.
+test('accepted jobs survive when all processes are killed and the head of the snapshot is damaged', async () => {
+  const cell = await startCell(6);
+  const submitted = cell.submit(createJob(1, [{ count: 20, estimateMs: 3_000 }]), 'p0');
+  await cell.advance(10_000);
+  expect(await submitted).toEqual('accepted');
+  for (const { name } of cell.processes) cell.killProcess(name);
+  cell.store.writeKey('keyed.cell', 'head', Buffer.from([0xc1]));
+  await cell.advance(1_000);
+  for (const { name } of [...cell.processes]) await cell.startProcess(name);
+  await cell.advance(SETTLE_MS);
+  expect(cell.processes.map(({ process }) => process.isReady())).toEqual([true, true, true]);
+  expect(cell.listViolations()).toEqual([]);
+  expect(cell.listUnfinishedJobs()).toEqual([]);
+});
+
 // Guards against a cancel that is acknowledged and then lost with the owner.
 test('a successor starts no task of a job that was cancelled before the owner was killed', async () => {
   const cell = await startCell(5);
--- a/packages/cell-log/src/snapshot-store.test.ts
+++ b/packages/cell-log/src/snapshot-store.test.ts
@@ -227,3 +227,37 @@
       expect(await snapshots.read(empty, 1_000)).toEqual(undefined);
     expect(events.length).toEqual(1);
   });
+
+/** Number of reads after which the store reads a snapshot that the head does not name: 10 s of a replica. */
+const READS_BEFORE_FALLBACK = 100;
+
+// Guards against a cell that never starts again: all processes start, and another writer has damaged the head of
+// the snapshot, so that no process has a state from which an owner could write the next one.
+for (const [name, damage] of Object.entries<(values: Map<string, Uint8Array | undefined>) => void>({
+  'an odd head': (values) => values.set('head', Buffer.from([0xc1])),
+  'no head': (values) => values.set('head', undefined),
+  'a head that names missing parts': (values) =>
+    values.set('head', packr.pack({ slot: 'x', chunks: 1, offset: 12, isCompressed: true })),
+}))
+  test(`the snapshot store reads the newest complete snapshot after 10 s when the topic has ${name}`, async () => {
+    const values = new Map<string, Uint8Array | undefined>();
+    const { snapshots, append } = create(values);
+    await snapshots.write(stateAt(5), append);
+    await snapshots.write(stateAt(9), append);
+    damage(values);
+    for (let count = 1; count < READS_BEFORE_FALLBACK; count += 1)
+      expect(await snapshots.read(empty, 1_000)).toEqual(undefined);
+    expect((await snapshots.read(empty, 1_000))?.nextOffset).toEqual(9);
+    const damagedPart = [...values.keys()].find((key) => key.startsWith('b.'));
+    values.set(damagedPart ?? '', Buffer.from([0xc1]));
+    expect((await snapshots.read(empty, 1_000))?.nextOffset).toEqual(5);
+  });
+
+// Guards against a cell that never starts because its first owner ended while it wrote the first snapshot.
+test('the snapshot store reads an empty state after 10 s when the topic has parts of an unfinished snapshot only', async () => {
+  const part = packr.pack({ offset: 5, part: Buffer.from('x') });
+  const { snapshots } = create(new Map([['a.0', part]]));
+  for (let count = 1; count < READS_BEFORE_FALLBACK; count += 1)
+    expect(await snapshots.read(empty, 1_000)).toEqual(undefined);
+  expect((await snapshots.read(empty, 1_000))?.nextOffset).toEqual(0);
+});
--- a/packages/cell-log/src/snapshot-store.ts
+++ b/packages/cell-log/src/snapshot-store.ts
@@ -27,6 +27,12 @@
   isCompressed?: boolean;
 }
 
+/**
+ * Number of failed reads in a row after which a snapshot is read that the head does not name. A replica reads
+ * every 100 ms while it loads, and an owner writes a snapshot every 4 s: after 10 s there is probably none.
+ */
+const MAX_FAILED_READS = 100;
+
 const headShape = shapes.object({
   slot: shapes.string,
   chunks: shapes.integerFrom(1),
@@ -35,6 +41,9 @@
 });
 const partShape = shapes.object({ offset: shapes.integerFrom(0), part: shapes.bytes });
 
+/** Values of the topic by key. */
+type Values = ReadonlyMap<string, Uint8Array | undefined>;
+
 interface Options {
   store: Pick<LogStore, 'readNewest' | 'encodeKeyed'>;
   topic: string;
@@ -58,6 +67,8 @@
   private hasRemovedForeignParts = true;
   /** Why the last read found no complete snapshot; undefined if it found one. */
   private lastProblem: string | undefined;
+  /** Number of reads in a row that found no complete snapshot. */
+  private failedReads = 0;
 
   private constructor(private readonly options: Options) {}
 
@@ -118,18 +129,40 @@
   /**
    * Reads the newest snapshot; returns an empty state if there is none. Undefined when the store
    * did not answer, the snapshot was being replaced while it was read, or it cannot be decoded; the
-   * caller reads again, as the owner writes snapshots at an interval.
+   * caller reads again, as the owner writes snapshots at an interval. After `MAX_FAILED_READS` reads
+   * returns the newest complete snapshot in the topic instead.
    */
   async read(createEmpty: () => CellState, retentionMs: number): Promise<CellState | undefined> {
     const page = await this.options.store.readNewest(this.options.topic);
     if (page === undefined) return undefined;
     const values = new Map(page.records.map((record) => [record.key, record.value]));
+    const slots = new Set(
+      [...values]
+        .filter(([key, value]) => value !== undefined && key.includes('.'))
+        .map(([key]) => key.slice(0, key.lastIndexOf('.'))),
+    );
+    const hasHead = values.get('head') !== undefined;
+    if (!hasHead && slots.size === 0) return createEmpty();
+    const state = this.readNamed(values, retentionMs);
+    if (state !== undefined) {
+      this.failedReads = 0;
+      this.lastProblem = undefined;
+      return state;
+    }
+    this.failedReads += 1;
+    if (this.failedReads < MAX_FAILED_READS) return undefined;
+    return (
+      this.readNewestComplete(values, slots, retentionMs) ?? (hasHead ? undefined : createEmpty())
+    );
+  }
+
+  /** Reads the snapshot that the head names; undefined when that is not possible at present. */
+  private readNamed(values: Values, retentionMs: number): CellState | undefined {
     const headData = values.get('head');
-    if (headData === undefined) return createEmpty();
     try {
-      const state = this.decode(headData, values, retentionMs);
-      if (state !== undefined) this.lastProblem = undefined;
-      return state;
+      if (headData === undefined) throw new Error('the topic has parts and no head');
+      const head = decodeValue(headData, headShape, 'head') as SnapshotHead;
+      return this.decode(head, values, retentionMs);
     } catch (error) {
       // msgpackr, zlib and the checks throw for content that no process of this system has written.
       this.logProblem('error', 'snapshot-unreadable', { error: String(error) });
@@ -137,19 +170,35 @@
     }
   }
 
-  /** Returns undefined for a snapshot that is being replaced; throws for one that cannot be decoded. */
-  private decode(
-    headData: Uint8Array,
-    values: ReadonlyMap<string, Uint8Array | undefined>,
+  /**
+   * Reads the newest complete snapshot, whatever the head names. The log continues any snapshot, and
+   * the checksum of a compressed one shows that it is complete.
+   */
+  private readNewestComplete(
+    values: Values,
+    slots: ReadonlySet<string>,
     retentionMs: number,
   ): CellState | undefined {
-    const head = decodeValue(headData, headShape, 'head') as SnapshotHead;
+    let newest: CellState | undefined;
+    for (const slot of slots) {
+      try {
+        const state = this.decode(createHead(slot, values), values, retentionMs);
+        if (state !== undefined && state.nextOffset > (newest?.nextOffset ?? -1)) newest = state;
+      } catch {
+        // The parts of the slot are odd or not complete; `readNamed` has logged why the head is not used.
+        continue;
+      }
+    }
+    if (newest !== undefined)
+      this.options.log('warn', 'snapshot-fallback', { offset: newest.nextOffset });
+    return newest;
+  }
+
+  /** Returns undefined for a snapshot that is being replaced; throws for one that cannot be decoded. */
+  private decode(head: SnapshotHead, values: Values, retentionMs: number): CellState | undefined {
     const parts: Uint8Array[] = [];
     for (let index = 0; index < head.chunks; index += 1) {
-      const key = `${head.slot}.${index}`;
-      const partData = values.get(key);
-      const content =
-        partData && (decodeValue(partData, partShape, key) as { offset: number; part: Uint8Array });
+      const content = findPart(values, head.slot, index);
       if (content?.offset !== head.offset) {
         this.logProblem('warn', 'snapshot-incomplete', { offset: head.offset, chunk: index });
         return undefined;
@@ -182,6 +231,25 @@
   }
 }
 
+/** Creates a head for the parts in the slot. */
+function createHead(slot: string, values: Values): SnapshotHead {
+  const offset = findPart(values, slot, 0)?.offset;
+  if (offset === undefined) throw new Error(`slot ${slot} has no first part`);
+  let chunks = 1;
+  while (findPart(values, slot, chunks)?.offset === offset) chunks += 1;
+  return { slot, chunks, offset, isCompressed: true };
+}
+
+function findPart(
+  values: Values,
+  slot: string,
+  index: number,
+): { offset: number; part: Uint8Array } | undefined {
+  const key = `${slot}.${index}`;
+  const data = values.get(key);
+  return data && (decodeValue(data, partShape, key) as { offset: number; part: Uint8Array });
+}
+
 function decodeValue(data: Uint8Array, shape: Shape, name: string): unknown {
   const value: unknown = packr.unpack(data);
   const shapeError = findShapeError(shape, value, name);
