--- a/packages/cell-process/src/owner-writer.test.ts
+++ b/packages/cell-process/src/owner-writer.test.ts
@@ -48,78 +48,78 @@
   expect(writer.lastAppendAgeMs()).toBeLessThan(100);
 });
 
-// Guards against an owner that writes no more snapshots after one that could not be encoded: processes that start
-// later lack the records that the log no longer has.
-test('the owner writer writes the next snapshot after one that failed with an error', async () => {
+// Guards against a time of the cell that advances faster than true time: it is the sum over many owners, whose
+// times would each be up to 1 ms too long.
+test('the owner writer rounds the time of its term down', async () => {
   const clock = ManualClock.create(1_000_000);
+  const records: Uint8Array[] = [];
   const store = {
-    append: () => Promise.resolve({ kind: 'appended' as const, offset: 0 }),
+    append: (request: AppendRequest) => {
+      records.push(...request.records);
+      return Promise.resolve({ kind: 'appended' as const, offset: 0 });
+    },
     readNewest: () => Promise.resolve(undefined),
     encodeKeyed: () => Buffer.alloc(0),
   };
-  const snapshots = SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined });
-  let attempts = 0;
-  snapshots.write = () => {
-    attempts += 1;
-    return Promise.reject(new RangeError('Maximum call stack size exceeded'));
-  };
-  const events: string[] = [];
   const writer = OwnerWriter.create({
     clock,
     store,
-    log: (_level, event) => events.push(event),
+    log: () => undefined,
     topics: { cell: 'cell', snapshots: 'keyed.cell', hints: 'keyed.owner' },
     token: 1,
-    snapshots,
     claimSentAt: Instant.create(clock),
+    snapshots: SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined }),
     state: () => CellState.create(1_000),
     loopDelayMs: () => 0,
     onFenced: () => undefined,
     onAppended: () => undefined,
   });
+  clock.advance(0.9);
   writer.start();
-  for (let elapsedMs = 0; elapsedMs < 13_000; elapsedMs += 100) {
-    clock.advance(100);
-    await new Promise((resolve) => {
-      setImmediate(resolve);
-    });
-  }
+  clock.advance(300);
+  await Promise.resolve();
+  const renewal = recordCodec.decode(records[0] ?? new Uint8Array());
+  expect(renewal?.kind === 'renew' && renewal.termMs).toEqual(250);
   writer.stop();
-  expect(attempts).toEqual(4);
-  expect(events.filter((event) => event === 'snapshot-not-written').length).toEqual(4);
 });
 
-// Guards against a time of the cell that advances faster than true time: it is the sum over many owners, whose
-// times would each be up to 1 ms too long.
-test('the owner writer rounds the time of its term down', async () => {
+// Guards against an owner that writes no more snapshots after one that could not be encoded: processes that start
+// later lack the records that the log no longer has.
+test('the owner writer writes the next snapshot after one that failed with an error', async () => {
   const clock = ManualClock.create(1_000_000);
-  const records: Uint8Array[] = [];
   const store = {
-    append: (request: AppendRequest) => {
-      records.push(...request.records);
-      return Promise.resolve({ kind: 'appended' as const, offset: 0 });
-    },
+    append: () => Promise.resolve({ kind: 'appended' as const, offset: 0 }),
     readNewest: () => Promise.resolve(undefined),
     encodeKeyed: () => Buffer.alloc(0),
   };
+  const snapshots = SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined });
+  let attempts = 0;
+  snapshots.write = () => {
+    attempts += 1;
+    return Promise.reject(new RangeError('Maximum call stack size exceeded'));
+  };
+  const events: string[] = [];
   const writer = OwnerWriter.create({
     clock,
     store,
-    log: () => undefined,
+    log: (_level, event) => events.push(event),
     topics: { cell: 'cell', snapshots: 'keyed.cell', hints: 'keyed.owner' },
     token: 1,
     claimSentAt: Instant.create(clock),
-    snapshots: SnapshotStore.create({ store, topic: 'keyed.cell', log: () => undefined }),
+    snapshots,
     state: () => CellState.create(1_000),
     loopDelayMs: () => 0,
     onFenced: () => undefined,
     onAppended: () => undefined,
   });
-  clock.advance(0.9);
   writer.start();
-  clock.advance(300);
-  await Promise.resolve();
-  const renewal = recordCodec.decode(records[0] ?? new Uint8Array());
-  expect(renewal?.kind === 'renew' && renewal.termMs).toEqual(250);
+  for (let elapsedMs = 0; elapsedMs < 13_000; elapsedMs += 100) {
+    clock.advance(100);
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
   writer.stop();
+  expect(attempts).toEqual(4);
+  expect(events.filter((event) => event === 'snapshot-not-written').length).toEqual(4);
 });
