List an entry that looks like a later incarnation as a known fault

Callers would see a task that runs twice at the same time: an entry under the id of a worker with a later born, which another program wrote, ends the session of the worker and its runs as lost, although the worker still runs them and no process has answered for the later incarnation.

--- a/packages/cell-emulator/src/odd-entries.test.ts
+++ b/packages/cell-emulator/src/odd-entries.test.ts
@@ -142,3 +142,21 @@
   await cell.advance(TAKEOVER_MS);
   expect(cell.orders.filter(({ kind }) => kind === 'start')).toEqual([]);
 });
+
+// Guards against a second run of a task while the first one goes on: an entry that another program writes under
+// the id of a worker, and that looks like that of a later incarnation, counts as proof that the worker has ended.
+test('an entry of a later incarnation that no worker confirms does not end the runs of a worker', async () => {
+  const cell = createCell(83);
+  await cell.start();
+  await cell.advance(2_000);
+  const step = { count: 4, millicores: 4_000, estimateMs: 12_000 };
+  const submitted = cell.submit(createJob(1, [step]), 'p0');
+  await cell.advance(1_000);
+  expect(await submitted).toEqual('accepted');
+  const started = cell.history.find(({ kind }) => kind === 'started');
+  const entry = cell.workers.get(started?.worker ?? '')?.entry;
+  if (entry === undefined) throw new Error('no run started');
+  cell.publishWorker({ ...entry, born: entry.born + 1_000, address: 'w9:1' });
+  await cell.advance(6_000);
+  expect(cell.listViolations()).toEqual([]);
+});
