--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -277,6 +277,29 @@
   expect(cell.listUnfinishedJobs()).toEqual([]);
 });
 
+// Guards against the same loss after a change of the owner: the worker announced that it leaves to the former one.
+test('a successor stops tasks that can resume before a worker leaves that was draining at its claim', async () => {
+  const cell = await startCell(12);
+  const job = createJob(1, [{ count: 2, estimateMs: 12_000, checkpointing: true }]);
+  const submitted = cell.submit(job, 'p0');
+  await cell.advance(500);
+  expect(await submitted).toEqual('accepted');
+  const started = cell.history.find((event) => event.kind === 'started');
+  const worker = cell.workers.get(started?.worker ?? '');
+  if (worker === undefined) throw new Error('no run started');
+  cell.publishWorker({ ...worker.entry, draining: true, leavesInMs: 5_000 });
+  // The standbys read the entry, so that the successor knows it when it becomes owner.
+  await cell.advance(1_200);
+  cell.killProcess(cell.findOwnerName() ?? '');
+  await cell.advance(3_800);
+  worker.crash();
+  await cell.advance(18_000);
+  const lostRuns = cell.history.filter((event) => event.how === 'lost');
+  expect(lostRuns).toEqual([]);
+  expect(cell.listViolations()).toEqual([]);
+  expect(cell.listUnfinishedJobs()).toEqual([]);
+});
+
 // Guards against starts that are delayed by the whole timeout of an append whose reply is lost.
 test('the owner starts tasks within 1 s on average while replies of the store are lost', async () => {
   const cell = await startCell(12);
@@ -518,6 +541,23 @@
   expect(cell.listUnfinishedJobs()).toEqual([]);
 });
 
+// Guards against a cell that never starts again because another writer has damaged the snapshot while no process
+// runs that could write the next one.
+test('accepted jobs survive when all processes are killed and the head of the snapshot is damaged', async () => {
+  const cell = await startCell(6);
+  const submitted = cell.submit(createJob(1, [{ count: 20, estimateMs: 3_000 }]), 'p0');
+  await cell.advance(10_000);
+  expect(await submitted).toEqual('accepted');
+  for (const { name } of cell.processes) cell.killProcess(name);
+  cell.store.writeKey('keyed.cell', 'head', Buffer.from([0xc1]));
+  await cell.advance(1_000);
+  for (const { name } of [...cell.processes]) await cell.startProcess(name);
+  await cell.advance(SETTLE_MS);
+  expect(cell.processes.map(({ process }) => process.isReady())).toEqual([true, true, true]);
+  expect(cell.listViolations()).toEqual([]);
+  expect(cell.listUnfinishedJobs()).toEqual([]);
+});
+
 // Guards against a cancel that is acknowledged and then lost with the owner.
 test('a successor starts no task of a job that was cancelled before the owner was killed', async () => {
   const cell = await startCell(5);
