Probe an ejected worker beside the tasks that still run there

Cause: a worker that is probed after its ejection got one task only while no other task was there. A service, or a long task, that has run there since before the ejection never lets this happen, so that the worker is never used again.

Fix: the probe is the task that starts while the worker is probed, whatever else runs there. A probe that has run for a minute counts as a success, since a service task never completes.

--- a/packages/placement/src/default-limits.ts
+++ b/packages/placement/src/default-limits.ts
@@ -23,5 +23,6 @@
   maxBackOffMs: 60_000,
   ejectionMs: 10_000,
   maxEjectionMs: 600_000,
+  probeMs: 60_000,
   stableServiceMs: 60_000,
 };
--- a/packages/placement/src/limits.ts
+++ b/packages/placement/src/limits.ts
@@ -36,6 +36,8 @@
   /** First and longest time that a worker is ejected before it is probed. */
   ejectionMs: number;
   maxEjectionMs: number;
+  /** Run time after which the task that probes a worker counts as a success although it has not ended. */
+  probeMs: number;
   /** Run time after which the earlier failures of a service task are no longer counted. */
   stableServiceMs: number;
 }
--- a/packages/placement/src/partition-state.ts
+++ b/packages/placement/src/partition-state.ts
@@ -51,7 +51,7 @@
   readonly overloadedWorkers = new Set<WorkerRecord>();
   /** Leaving workers whose batch tasks have not been checkpointed yet. */
   readonly workersToDrain = new Set<WorkerRecord>();
-  /** Ejected workers that wait to be probed. */
+  /** Workers that wait to be probed or are being probed. */
   readonly ejectedWorkers = new Set<WorkerRecord>();
   /** Service jobs with tasks to replace. */
   readonly servicesToReplace = new Set<JobRecord>();
@@ -112,6 +112,10 @@
     task.state = lifecycles.task.step(task.state, 'start');
     if (task.worker === null) this.allocate(task, worker);
     task.startedAtMs = nowMs;
+    if (worker.state === 'probing' && worker.probeTask === null) {
+      worker.probeTask = task;
+      this.workerTable.refresh(worker);
+    }
     task.observedUsage = null;
     task.expectedEndAtMs = nowMs + this.families.estimateRemainingMs(task, 1);
     const { kind, repeatable, urgent } = task.job.spec;
@@ -139,6 +143,7 @@
     this.tasks.delete(task.id);
     worker.tasks.delete(task);
     if (worker.overuse?.task === task) worker.overuse = null;
+    if (worker.probeTask === task) worker.probeTask = null;
     task.job.placedCount -= 1;
     task.job.team.removePreemptible(task);
     this.adjustDomainCounts(task, worker, -1);
--- a/packages/placement/src/run-round.ts
+++ b/packages/placement/src/run-round.ts
@@ -46,7 +46,7 @@
   stopTasks(round);
   drainWorkers(round);
   limitOveruse(round);
-  workerHealth.startProbes(partition, nowMs);
+  workerHealth.updateProbes(partition, nowMs);
   requeueAfterBackOff(round);
   refuseNeverRunnableJobs(round);
   policy.scheduled(round);
--- a/packages/placement/src/worker-health.ts
+++ b/packages/placement/src/worker-health.ts
@@ -59,14 +59,24 @@
     }
   },
 
-  /** Starts to probe the workers whose ejection time has passed: each accepts one task. */
-  startProbes(partition: PartitionState, nowMs: number): void {
+  /**
+   * Starts to probe the workers whose ejection time has passed: each accepts one task beside those that
+   * already run there. Ends the probes whose task has run for long enough; a service task never completes.
+   */
+  updateProbes(partition: PartitionState, nowMs: number): void {
     for (const worker of partition.ejectedWorkers) {
-      if (worker.probeAtMs > nowMs) continue;
-      worker.state = lifecycles.worker.step(worker.state, 'probe');
-      partition.ejectedWorkers.delete(worker);
-      partition.workerTable.refresh(worker);
-      partition.releaseCount += 1;
+      if (worker.state === 'probing') {
+        const { probeTask } = worker;
+        const hasPassed =
+          probeTask?.isStartConfirmed === true &&
+          nowMs - probeTask.startedAtMs >= partition.limits.probeMs;
+        if (hasPassed) workerHealth.recordSuccess(partition, worker);
+      } else if (worker.probeAtMs <= nowMs) {
+        worker.state = lifecycles.worker.step(worker.state, 'probe');
+        worker.probeTask = null;
+        partition.workerTable.refresh(worker);
+        partition.releaseCount += 1;
+      }
     }
   },
 };
--- a/packages/placement/src/worker-record.ts
+++ b/packages/placement/src/worker-record.ts
@@ -25,6 +25,8 @@
   probeAtMs = 0;
   /** Ejections since the last success; each doubles the time until the worker is probed. */
   ejectionCount = 0;
+  /** Task whose run decides whether the worker, while it is probed, accepts tasks again. */
+  probeTask: TaskRecord | null = null;
   /** Incarnations in order of their first report; reports of all but the last are ignored. */
   readonly incarnations: string[] = [];
   /** Sequence number of the latest report that was applied. */
--- a/packages/placement/src/worker-table.ts
+++ b/packages/placement/src/worker-table.ts
@@ -68,10 +68,10 @@
     else index.remove(worker);
   }
 
-  /** Whether the worker accepts a new task; a worker that is probed runs one task at a time. */
+  /** Whether the worker accepts a new task; a worker that is probed gets the next one when its probe has ended. */
   accepts(worker: WorkerRecord): boolean {
     if (worker.state === 'active') return true;
-    return worker.state === 'probing' && worker.tasks.size === 0;
+    return worker.state === 'probing' && worker.probeTask === null;
   }
 
   /**
