End a probation on a worker whose earlier run goes on, and one without a result

A probation also had no end when the cell had no run to try there (all queues prompt, all steps gangs) or when the run that tries the worker has no end.

Fix: only runs that began in the probation count; a probation without a result ends after 20 s, and the worker is ejected for longer if its next run fails.

Both tests fail on the code before: the second by its assertion, the first because the decision was a private function of the plan loop.

--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -10,7 +10,6 @@
 import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
 import { ReadyStepIndex } from './ready-step-index.js';
-import type { WorkerSession } from './worker-session.js';
 
 /** The timeout of an advice request is its expected duration times this factor, plus the margin. */
 const ADVICE_TIMEOUT_FACTOR = 2;
@@ -108,20 +107,13 @@
             endsInMs: estimateRemainingMs(trackedRun, nowMs),
             usedCapacity: trackedRun.demand,
           })),
-        acceptsStarts: session.isStartable() && this.mayGetStarts(session),
+        acceptsStarts: session.isStartable() && workerHealth.mayGetStarts(id, runs.listOn(id)),
         isOnProbation: workerHealth.fitnessOf(id) === 'probation',
       });
     }
     return workers;
   }
 
-  /** Returns false for an ejected worker, and for one on probation that already has a run. */
-  private mayGetStarts(session: WorkerSession): boolean {
-    const fitness = this.context.workerHealth.fitnessOf(session.id);
-    if (fitness !== 'probation') return fitness === 'full';
-    return this.context.runs.countOn(session.id) === 0;
-  }
-
   /** Appends the records of planned starts, and logs one line for each step. */
   private recordStarts(
     starts: readonly { key: string; index: number; worker: string }[],
--- a/packages/cell-owner/src/worker-health.test.ts
+++ b/packages/cell-owner/src/worker-health.test.ts
@@ -38,6 +38,39 @@
   expect(health.fitnessOf('slow')).toEqual('full');
 });
 
+// Guards against a worker that gets no starts, and so is never readmitted, because a long-running run has been
+// there since before its ejection.
+test('the worker health tries a worker on probation beside its earlier runs with one run at a time', () => {
+  const { health, clock } = create();
+  const earlierRun = { trackedSinceMs: clock.monotonicMs() };
+  for (let index = 0; index < 6; index += 1) health.recordFailure('bad', `job${index}`);
+  expect(health.mayGetStarts('bad', [earlierRun])).toEqual(false);
+  clock.advance(2_600);
+  expect(health.mayGetStarts('bad', [earlierRun])).toEqual(true);
+  const trial = { trackedSinceMs: clock.monotonicMs() };
+  expect(health.mayGetStarts('bad', [earlierRun, trial])).toEqual(false);
+  health.recordSpeed('bad', 'q', 1);
+  expect(health.mayGetStarts('bad', [earlierRun, trial])).toEqual(true);
+});
+
+// Guards against a worker that stays on probation for good because every queue of the cell is prompt, every step
+// is a gang, or the run that tries it has no end.
+test('the worker health ends a probation without a result and ejects the worker for longer if it fails again', () => {
+  const { health, clock } = create();
+  for (let index = 0; index < 6; index += 1) health.recordFailure('bad', `job${index}`);
+  clock.advance(2_600);
+  const trial = { trackedSinceMs: clock.monotonicMs() };
+  clock.advance(19_000);
+  expect(health.fitnessOf('bad')).toEqual('probation');
+  clock.advance(1_000);
+  expect(health.fitnessOf('bad')).toEqual('full');
+  expect(health.mayGetStarts('bad', [trial])).toEqual(true);
+  health.recordFailure('bad', 'later');
+  expect(health.fitnessOf('bad')).toEqual('ejected');
+  clock.advance(4_900);
+  expect(health.fitnessOf('bad')).toEqual('ejected');
+});
+
 // Guards against workers that are ejected because the estimates of a whole queue are far off.
 test('the worker health ejects no worker when all runs of a queue exceed their estimates', () => {
   const { health } = create();
--- a/packages/cell-owner/src/worker-health.ts
+++ b/packages/cell-owner/src/worker-health.ts
@@ -23,7 +23,7 @@
   deviation: number;
 }
 
-/** Ejection of a worker; after `untilMs` the worker is on probation. */
+/** Ejection of a worker; from `untilMs` on the worker is on probation. */
 interface Ejection {
   reason: 'failing' | 'slow' | 'stalled';
   untilMs: number;
@@ -61,6 +61,11 @@
 const EJECTION_MS = 2_500;
 /** Maximum time in ms for which a worker is ejected. */
 const MAX_EJECTION_MS = 10_000;
+/**
+ * Maximum time in ms on probation. It may pass without a result, because the cell has no run to try there or
+ * because a long-running one has no end.
+ */
+const MAX_PROBATION_MS = 20_000;
 /**
  * Maximum share of workers that may be ejected or on probation. When more of them look faulty, the workers are
  * not the cause.
@@ -90,7 +95,21 @@
   fitnessOf(worker: string): 'full' | 'probation' | 'ejected' {
     const ejection = this.ejections.get(worker);
     if (ejection === undefined) return 'full';
-    return this.clock.monotonicMs() < ejection.untilMs ? 'ejected' : 'probation';
+    const probationMs = this.clock.monotonicMs() - ejection.untilMs;
+    if (probationMs < 0) return 'ejected';
+    return probationMs < MAX_PROBATION_MS ? 'probation' : 'full';
+  }
+
+  /**
+   * Whether the worker may get a start: not while it is ejected, and on probation not while one of `runs`, its
+   * runs, is the one that tries it. Runs that began before the probation have no part in it.
+   */
+  mayGetStarts(worker: string, runs: Iterable<{ trackedSinceMs: number }>): boolean {
+    const fitness = this.fitnessOf(worker);
+    if (fitness !== 'probation') return fitness === 'full';
+    const sinceMs = this.ejections.get(worker)?.untilMs ?? 0;
+    for (const { trackedSinceMs } of runs) if (trackedSinceMs >= sinceMs) return false;
+    return true;
   }
 
   /** Returns why the worker is ejected or on probation; undefined when it is neither. */
@@ -169,7 +188,9 @@
   private evaluate(worker: string): boolean {
     const samples = this.samples.get(worker) ?? [];
     const lastSample = samples[samples.length - 1];
-    if (lastSample !== undefined && this.fitnessOf(worker) === 'probation') {
+    // Also after a probation that had no result.
+    const isOnTrial = this.ejections.has(worker) && this.fitnessOf(worker) !== 'ejected';
+    if (lastSample !== undefined && isOnTrial) {
       const isSlow =
         lastSample.speedDifference !== undefined &&
         lastSample.speedDifference.logRatio >= Math.log(SLOW_FACTOR) &&
