--- a/packages/bench/src/recovery/recovery.test.ts
+++ b/packages/bench/src/recovery/recovery.test.ts
@@ -19,8 +19,11 @@
       const shown = JSON.stringify({ ...rest, lost, duplicated, oversold, violations });
       console.log(shown);
       if (trace !== '') console.log(trace);
-      expect({ lost, duplicated, oversold, violations }).toEqual({
+      // Names the lost keys and jobs in the message, because the output above may not be kept.
+      const lostWork = lost > 0 ? run.notes : [];
+      expect({ lost, lostWork, duplicated, oversold, violations }).toEqual({
         lost: 0,
+        lostWork: [],
         duplicated: 0,
         oversold: 0,
         violations: [],
