Answer the requests that arrived while the process was busy before its stop

Callers saw: a planned stop reset connections, and requests on them ended without an answer.

Cause: after the drain delay the server closed its listening socket and all idle connections in the same turn of the event loop in which the timer fired. When the process had been busy, connections waited to be accepted and requests waited to be read; the kernel resets both. A connection whose request has not been read counts as idle.

Fix: the stop lets the event loop accept and read what has arrived first.

Evidence: a client in another thread sends a request on a used connection and on a new one while the event loop of the server is blocked for 300 ms.

--- a/packages/http-server/src/http-server.ts
+++ b/packages/http-server/src/http-server.ts
@@ -16,6 +16,9 @@
   onUnexpectedError: (message: string) => void;
 }
 
+/** Turns of the event loop in which a connection is accepted and the request that was sent on it is read. */
+const RECEIVE_TURNS = 3;
+
 /** HTTP server for callers and operators, with limits on requests and connections and a planned stop. */
 export class HttpServer {
   static create(options: Options): HttpServer {
@@ -62,9 +65,10 @@
    * Stops accepting connections and resolves when all requests in flight are answered. Their
    * responses carry `connection: close`, so that no caller sends another request on the connection.
    */
-  stop(): Promise<void> {
+  async stop(): Promise<void> {
     this.isClosing = true;
-    return new Promise((resolve) => {
+    await this.readReceivedRequests();
+    await new Promise<void>((resolve) => {
       this.server.close(() => {
         resolve();
       });
@@ -84,6 +88,16 @@
     return { inFlight: this.inFlight, isClosing: this.isClosing };
   }
 
+  /**
+   * Lets the event loop accept the connections and read the requests that have already arrived. A connection
+   * whose request has not been read counts as idle, and closing it would reset it.
+   */
+  private async readReceivedRequests(): Promise<void> {
+    for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
   private async answerRequest(
     request: IncomingMessage,
     serverResponse: ServerResponse,
