Close the connections of callers while an entry process drains

Callers saw: those that keep a connection open sent requests on it until the end of the drain delay; then all connections were closed at once, under the next request of some.

Cause: only the responses after the drain delay carried `connection: close`. The platform role sends it from the beginning of the stop; the entry process never called `HttpServer.drain`.

Fix: it drains from the beginning of the stop, so that callers open their next connection through the load balancer.

--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { request } from 'undici';
 import { EmbeddedCell } from './embedded-cell.js';
 
 const declaration = `{
@@ -108,6 +109,23 @@
   expect((await cell.call(0, 'GET', '/ready')).status).toEqual(200);
 });
 
+// Guards against callers that keep sending requests on the connections of a stopping process until it resets them.
+test('an entry process that stops ends each connection with its next response', async (context) => {
+  const cell = await EmbeddedCell.create({
+    dataCentres: { 'dc-a': 1 },
+    users: ['u'],
+    standIn: { workers: { count: 1 }, runners: { count: 1 } },
+    settings: { drainDelayMs: 500 },
+  });
+  context.after(() => cell.stop());
+  const [{ listen } = { listen: '' }] = cell.plannedEntries.values();
+  const stopped = [...cell.entries.values()][0]?.stop();
+  const response = await request(`http://${listen}/ready`);
+  await response.body.dump();
+  expect([response.statusCode, response.headers.connection]).toEqual([503, 'close']);
+  await stopped;
+});
+
 // Guards against a token that reads or cancels the work of another user.
 test('the caller service lets a token read and cancel only the jobs of its users', async (context) => {
   const permissions = { mayApply: false, maySubmit: true, mayReadAccount: false };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -379,6 +379,8 @@
   private async shutDown(): Promise<void> {
     this.log('info', 'stopping');
     this.isReady = false;
+    // A caller opens its next connection through the load balancer, at another process.
+    this.httpServer.drain();
     // Until the load balancer has read that the process is not ready, it still sends requests.
     await new Promise<void>((resolve) => this.clock.after(this.settings.drainDelayMs, resolve));
     await this.httpServer.stop();
