Count suspensions in the age of a partition owner's lease

Callers could be served by two owners of a partition: an owner whose machine had been suspended past its lease was leased when it resumed, beside its successor, and accepted commits and requests with a key until it read the successor's claim.

Cause: the lease and the hold time were compared with the monotonic clock, which does not advance while a machine is suspended. The start of a lease (before the append, before the claim, before the read that did not find the record) was a monotonic time as well, so a late acknowledgement extended the lease.

These times are now of the type Instant, whose age is the greater of the ages by the monotonic and the wall clock, as in the platform role.

What must not be too long stays on the monotonic clock alone: the wait of a successor for the end of a lease or hold time, the expiry of task leases and of slot grants. A jump of the wall clock ahead makes an owner hold and renew (under the same token), or, beyond the hold time, stop and claim again; a jump back extends nothing. The timer for due work waits at least 1 ms, since the age by a fast or slow clock can leave a remainder that a timer cannot pass.

With Instant reduced to the monotonic age the new tests about suspensions and jumps ahead fail, and so does the history test ("2 processes were leased at once"), whose random steps now include suspensions and jumps of the wall clock; its bounds are unchanged. The group commit test computes the monotonic start from the age of the Instant.

--- a/packages/group-commit/src/group-commit-options.ts
+++ b/packages/group-commit/src/group-commit-options.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@acaciahoist/clock';
+import type { Instant } from '@acaciahoist/clock/instant';
 import type { Journal } from '@acaciahoist/journal';
 import type { LogRecord } from '@acaciahoist/types/log-record';
 import type { LogStream } from '@acaciahoist/types/log-stream';
@@ -27,8 +28,8 @@
   entryWaitMs: number;
   maxWaitingEntries: number;
   maxWaitingBytes: number;
-  /** Called when a record is durable. It was appended no earlier than `sinceMs` (monotonic). */
-  onDurable: (sinceMs: number) => void;
+  /** Called when a record is durable. It was appended no earlier than `since`. */
+  onDurable: (since: Instant) => void;
   /** Called when another process has claimed the partition, or may have claimed it. */
   onFenced: () => void;
 }
--- a/packages/group-commit/src/group-commit.test.ts
+++ b/packages/group-commit/src/group-commit.test.ts
@@ -33,7 +33,7 @@
     entryWaitMs: 1_000,
     maxWaitingEntries: 10,
     maxWaitingBytes: 100_000,
-    onDurable: (sinceMs) => durableSinceMs.push(sinceMs),
+    onDurable: (since) => durableSinceMs.push(clock.monotonicMs() - since.ageMs()),
     onFenced: () => undefined,
     ...options,
   });
--- a/packages/group-commit/src/record-appender.ts
+++ b/packages/group-commit/src/record-appender.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'true-myth/result';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { Failure } from '@acaciahoist/errors';
 import type { Offset } from '@acaciahoist/types/offset';
 import { AppendOutcome } from './append-outcome.js';
@@ -38,35 +39,31 @@
     let hasUnknownResult = false;
     // The valid record may come from an earlier, delayed append call. It cannot have been appended before
     // the start of the last read that did not find it.
-    let sinceMs = clock.monotonicMs();
+    let since = Instant.create(clock);
     while (!this.isStopped) {
       this.appendCount += 1;
       const appended = await log.append(data, appendTimeoutMs);
       if (appended.isOk && this.isValidWithoutRead(appended.value)) {
         this.options.applyAcknowledged({ offset: appended.value, data });
-        this.options.onDurable(sinceMs);
+        this.options.onDurable(since);
         return AppendOutcome.durable;
       }
       if (isRefused(appended) && !hasUnknownResult) return AppendOutcome.notAppended;
       hasUnknownResult = true;
       this.readBackCount += 1;
       const offset = appended.isOk ? appended.value : -1;
-      const readStartedAtMs = await this.options.reader.readPast(
-        offset,
-        clock,
-        () => this.isStopped,
-      );
-      if (readStartedAtMs === undefined) break;
+      const readStart = await this.options.reader.readPast(offset, clock, () => this.isStopped);
+      if (readStart === undefined) break;
       const lastSequence = journal.sequenceOf(this.options.token);
       if (lastSequence !== undefined && lastSequence >= sequence) {
-        this.options.onDurable(sinceMs);
+        this.options.onDurable(since);
         return AppendOutcome.durable;
       }
       if (journal.token() !== this.options.token) {
         return lastSequence === undefined ? AppendOutcome.unknown : AppendOutcome.fenced;
       }
       if (!isRequired) return AppendOutcome.notAppended;
-      sinceMs = readStartedAtMs;
+      since = readStart;
       appendTimeoutMs = Math.min(MAX_APPEND_TIMEOUT_MS, appendTimeoutMs * 2);
     }
     return AppendOutcome.unknown;
--- a/packages/group-commit/src/stream-reader.ts
+++ b/packages/group-commit/src/stream-reader.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'true-myth/result';
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import { Failure } from '@acaciahoist/errors';
 import type { LogPage } from '@acaciahoist/types/log-page';
 import type { LogStream } from '@acaciahoist/types/log-stream';
@@ -62,18 +63,18 @@
 
   /**
    * Reads to the end of the stream until `offset` was read; retries after a failure. Returns the start of
-   * the read that succeeded (monotonic ms), or undefined when stopped.
+   * the read that succeeded, or undefined when stopped.
    */
   async readPast(
     offset: Offset,
     clock: Clock,
     isStopped: () => boolean,
-  ): Promise<number | undefined> {
+  ): Promise<Instant | undefined> {
     const backOff = BackOff.create(RETRY_MS.first, RETRY_MS.max);
     while (!isStopped()) {
-      const startedAtMs = clock.monotonicMs();
+      const start = Instant.create(clock);
       const read = await this.readToEnd();
-      if (read.isOk && this.replay.nextOffset() > offset) return startedAtMs;
+      if (read.isOk && this.replay.nextOffset() > offset) return start;
       await sleep(clock, backOff.next());
     }
     return undefined;
--- a/packages/ownership/src/checkpoint-schedule.ts
+++ b/packages/ownership/src/checkpoint-schedule.ts
@@ -1,3 +1,5 @@
+import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { Configuration } from '@acaciahoist/configuration';
 import type { Offset } from '@acaciahoist/types/offset';
 
@@ -8,41 +10,48 @@
  */
 export class CheckpointSchedule {
   static create(
+    clock: Clock,
     configuration: Configuration,
     retentionMs: number,
     jitterFraction: () => number,
-    nowMs: number,
   ): CheckpointSchedule {
-    return new CheckpointSchedule(configuration, retentionMs, jitterFraction, nowMs);
+    return new CheckpointSchedule(clock, configuration, retentionMs, jitterFraction);
   }
 
   private lastCheckpointOffset: Offset = -1;
-  private dueAtMs: number;
+  /** The next append is due when `since` is `delayMs` old, including suspensions of the machine. */
+  private due: { since: Instant; delayMs: number };
 
   private constructor(
+    private readonly clock: Clock,
     private readonly configuration: Configuration,
     private readonly retentionMs: number,
     private readonly jitterFraction: () => number,
-    nowMs: number,
   ) {
     // The age of a checkpoint that was read at the start is unknown, so the first append is due early.
-    this.dueAtMs = nowMs + this.shortDelayMs();
+    this.due = this.createDue(this.shortDelayMs());
   }
 
   /** Returns true when the caller must append a checkpoint now, and then false for a short delay. */
-  isDue(nowMs: number): boolean {
+  isDue(): boolean {
     const offset = this.configuration.lastCheckpoint();
     if (offset !== this.lastCheckpointOffset) {
-      this.dueAtMs =
-        nowMs + (this.lastCheckpointOffset === -1 ? this.shortDelayMs() : this.intervalMs());
+      this.due = this.createDue(
+        this.lastCheckpointOffset === -1 ? this.shortDelayMs() : this.intervalMs(),
+      );
       this.lastCheckpointOffset = offset;
     }
     const { revision } = this.configuration.current();
-    if (nowMs < this.dueAtMs || revision === 0 || !this.configuration.hasState()) return false;
-    this.dueAtMs = nowMs + this.shortDelayMs();
+    const isDue = this.due.since.ageMs() >= this.due.delayMs;
+    if (!isDue || revision === 0 || !this.configuration.hasState()) return false;
+    this.due = this.createDue(this.shortDelayMs());
     return true;
   }
 
+  private createDue(delayMs: number): { since: Instant; delayMs: number } {
+    return { since: Instant.create(this.clock), delayMs };
+  }
+
   /** A third of the retention time, plus up to a twelfth that separates the processes. */
   private intervalMs(): number {
     return this.retentionMs / 3 + (this.retentionMs / 12) * this.jitterFraction();
--- a/packages/ownership/src/claim-attempt.ts
+++ b/packages/ownership/src/claim-attempt.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from 'true-myth/result';
 import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import { Failure } from '@acaciahoist/errors';
 import { sleep } from '@acaciahoist/group-commit/sleep';
 import { encodeRecord } from '@acaciahoist/journal/encode-record';
@@ -33,8 +34,8 @@
 /** A claim that the stream shows to be valid. */
 interface ValidClaim {
   token: Offset;
-  /** Monotonic time before which the claim was certainly not appended; its lease counts from here. */
-  leaseStartMs: number;
+  /** Time before which the claim was certainly not appended; its lease counts from here. */
+  leaseStart: Instant;
 }
 
 /**
@@ -57,7 +58,7 @@
    */
   async run(): Promise<Result<ValidClaim, Failure>> {
     const { clock, reader } = this.options;
-    const readStartedAtMs = clock.monotonicMs();
+    const readStart = Instant.create(clock);
     const read = await reader.stream.readToEnd();
     if (read.isErr) return err(read.error);
     this.replaces = reader.journal.lastOwnerRecord();
@@ -65,9 +66,10 @@
       const waitResult = await this.waitForLeaseEnd();
       if (waitResult.isErr) return err(waitResult.error);
     }
-    return this.appendClaim(readStartedAtMs);
+    return this.appendClaim(readStart);
   }
 
+  /** Counts on the monotonic clock alone: a wait that ignores a suspension is too long and never too short. */
   private async waitForLeaseEnd(): Promise<Result<void, Failure>> {
     const { clock, reader, leaseMs } = this.options;
     const waitMs = leaseMs * SUCCESSOR_WAIT.driftFactor + SUCCESSOR_WAIT.marginMs;
@@ -86,14 +88,14 @@
   }
 
   /** Appends the claim, again after an unknown result, until the stream shows which claim is valid. */
-  private async appendClaim(firstReadStartedAtMs: number): Promise<Result<ValidClaim, Failure>> {
+  private async appendClaim(firstReadStart: Instant): Promise<Result<ValidClaim, Failure>> {
     const { identity, clock, log, reader, appendTimeoutMs, isClosed } = this.options;
     const encoded = encodeRecord({ type: 'claim', holder: identity, replaces: this.replaces });
     if (encoded.isErr) return err(encoded.error);
-    let previousReadStartedAtMs = firstReadStartedAtMs;
+    let previousReadStart = firstReadStart;
     for (let attempt = 0; attempt < MAX_APPENDS; attempt += 1) {
       if (isClosed()) return err(createStoppingFailure());
-      const readStartedAtMs = clock.monotonicMs();
+      const readStart = Instant.create(clock);
       if (attempt === 0) {
         const read = await reader.stream.readToEnd();
         if (read.isErr) return err(read.error);
@@ -102,17 +104,17 @@
       }
       // A delayed claim of an earlier attempt may be the valid one. The previous read did not contain
       // it, so its lease counts from the start of that read.
-      if (this.isClaimDecided()) return this.evaluateClaim(previousReadStartedAtMs);
-      previousReadStartedAtMs = readStartedAtMs;
+      if (this.isClaimDecided()) return this.evaluateClaim(previousReadStart);
+      previousReadStart = readStart;
       const appended = await log.append(encoded.value, appendTimeoutMs);
       if (appended.isErr && appended.error.kind !== 'append-unknown') {
         if (attempt === 0) return err(appended.error);
         continue;
       }
       const offset = appended.isOk ? appended.value : -1;
-      const lastReadStartedAtMs = await reader.stream.readPast(offset, clock, isClosed);
-      if (lastReadStartedAtMs === undefined) return err(createStoppingFailure());
-      if (this.isClaimDecided()) return this.evaluateClaim(readStartedAtMs);
+      const lastReadStart = await reader.stream.readPast(offset, clock, isClosed);
+      if (lastReadStart === undefined) return err(createStoppingFailure());
+      if (this.isClaimDecided()) return this.evaluateClaim(readStart);
     }
     return err(
       Failure.create(
@@ -128,14 +130,14 @@
   }
 
   /** Returns the claim if the newest owner record is from this process, and a failure otherwise. */
-  private evaluateClaim(leaseStartMs: number): Result<ValidClaim, Failure> {
+  private evaluateClaim(leaseStart: Instant): Result<ValidClaim, Failure> {
     const { identity, reader } = this.options;
     const { journal } = reader;
     const holder = journal.holder();
     const isOwn =
       holder?.process === identity.process && holder.incarnation === identity.incarnation;
     if (!isOwn || journal.token() <= this.replaces) return err(this.createNotOwnerFailure());
-    return ok({ token: journal.token(), leaseStartMs });
+    return ok({ token: journal.token(), leaseStart });
   }
 
   private createNotOwnerFailure(): Failure {
--- a/packages/ownership/src/configuration-follower.ts
+++ b/packages/ownership/src/configuration-follower.ts
@@ -53,12 +53,11 @@
       },
     });
     this.follower = StreamFollower.create(clock, this.reader, () => false);
-    const nowMs = clock.monotonicMs();
     this.checkpointSchedule = CheckpointSchedule.create(
+      clock,
       this.configuration,
       retentionMs,
       jitterFraction,
-      nowMs,
     );
   }
 
@@ -167,7 +166,7 @@
    * the next check reads whether the checkpoint is in the stream.
    */
   private async appendDueCheckpoint(): Promise<void> {
-    if (this.checkpointSchedule.isDue(this.options.clock.monotonicMs())) {
+    if (this.checkpointSchedule.isDue()) {
       const read = await this.reader.readToEnd();
       const encoded = encodeConfigurationRecord(this.configuration.checkpoint());
       if (read.isOk && encoded.isOk) {
--- a/packages/ownership/src/history.test.ts
+++ b/packages/ownership/src/history.test.ts
@@ -22,7 +22,12 @@
 const step = fc.record({
   member: fc.nat(2),
   /** `cut` makes the log unreachable for the process; `race` makes all processes claim at once. */
-  action: fc.constantFrom('claim', 'claim', 'claim', 'pause', 'cut', 'release', 'race', 'crash'),
+  action: fc.constantFrom(
+    ...(['claim', 'claim', 'claim', 'pause', 'suspend', 'jump', 'cut', 'release', 'race'] as const),
+    'crash',
+  ),
+  /** Jump of the wall clock of the process. */
+  jumpMs: fc.constantFrom(-10_000, -1_000, 1_000, 10_000, 5_000_000),
   /** Number of steps until a pause or an unreachable log ends. */
   durationSteps: fc.nat(3),
   waitMs: fc.constantFrom(20, 100, 700, 1_500, 4_000),
@@ -31,7 +36,7 @@
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
 /** Runs one step. Returns a function that ends the pause or the unreachability of the log it started. */
-async function runStep(cluster: TestCluster, { member: index, action, waitMs }: Step) {
+async function runStep(cluster: TestCluster, { member: index, action, waitMs, jumpMs }: Step) {
   const member = cluster.members[index];
   if (member === undefined) return () => undefined;
   if (action === 'crash') cluster.crash(index);
@@ -39,14 +44,16 @@
   if (action === 'claim' && !member.process.isPaused()) void member.owner.claim();
   if (action === 'race') cluster.claimEverywhere();
   if (action === 'cut') member.isReachable = false;
+  if (action === 'jump') member.process.jumpWall(jumpMs);
   cluster.commitEverywhere();
   await cluster.advanceTime(waitMs / 2, 20);
-  // A pause in the middle of a step stops the process while it has an outstanding append.
+  // A pause or suspension in the middle of a step stops the process while it has an outstanding append.
   if (action === 'pause') member.process.pause();
+  if (action === 'suspend') member.process.suspend();
   cluster.commitEverywhere();
   await cluster.advanceTime(waitMs / 2, 20);
   return () => {
-    if (action === 'pause') member.process.resume();
+    if (action === 'pause' || action === 'suspend') member.process.resume();
     if (action === 'cut') member.isReachable = true;
   };
 }
@@ -61,8 +68,8 @@
 
 test('three processes under random faults never hold two leases, lose or repeat an entry, or report a wrong result', async () => {
   // Guards against two leased owners, lost or repeated entries and wrong results of commits, when
-  // processes pause, crash, release, claim at once or cannot reach the log, the log loses or delays
-  // appends, and clock rates differ.
+  // processes pause, crash, release, claim at once or cannot reach the log, machines are suspended, wall
+  // clocks jump, the log loses or delays appends, and clock rates differ.
   const seed = readTestSeed('histories of three processes under faults');
   const counts = { durable: 0, records: 0, tokens: 0, readers: 0, entries: 0 };
   const history = fc.asyncProperty(
--- a/packages/ownership/src/lease.ts
+++ b/packages/ownership/src/lease.ts
@@ -1,36 +1,48 @@
-/** The lease and the hold time of an owner, on the monotonic clock of its process. */
+import { Instant } from '@acaciahoist/clock/instant';
+import type { Clock } from '@acaciahoist/clock';
+
+/**
+ * The lease and the hold time of an owner. Their age counts the time for which the machine was suspended, so
+ * that a jump of the wall clock ends them early and never late.
+ */
 export class Lease {
-  static create(leaseMs: number, holdMs: number): Lease {
-    return new Lease(leaseMs, holdMs);
+  static create(clock: Clock, leaseMs: number, holdMs: number): Lease {
+    return new Lease(clock, leaseMs, holdMs);
   }
 
   /** Time before which the last durable record was certainly not appended. */
-  private startMs = -Infinity;
+  private start: Instant;
 
   private constructor(
+    private readonly clock: Clock,
     private readonly leaseMs: number,
     private readonly holdMs: number,
-  ) {}
+  ) {
+    this.start = Instant.create(clock, Infinity);
+  }
 
   /** Restarts the lease and the hold time at a time before the append was sent. Never shortens them. */
-  extend(startMs: number): void {
-    this.startMs = Math.max(this.startMs, startMs);
+  extend(start: Instant): void {
+    if (start.ageMs() < this.start.ageMs()) this.start = start;
   }
 
   /** Ends the lease and the hold time. */
   clear(): void {
-    this.startMs = -Infinity;
+    this.start = Instant.create(this.clock, Infinity);
   }
 
-  leaseStartMs(): number {
-    return this.startMs;
+  /** Time since the start of the lease; infinite without one. */
+  ageMs(): number {
+    return this.start.ageMs();
   }
 
-  leaseUntilMs(): number {
-    return this.startMs + this.leaseMs;
+  /** Time until the lease ends; not positive when it has ended. */
+  leaseLeftMs(): number {
+    return this.leaseMs - this.ageMs();
   }
 
-  holdUntilMs(): number {
-    return this.startMs + this.holdMs;
+  /** Time until the hold time ends; not positive when it has ended. */
+  holdLeftMs(): number {
+    return this.holdMs - this.ageMs();
   }
 }
--- a/packages/ownership/src/ownership.test.ts
+++ b/packages/ownership/src/ownership.test.ts
@@ -110,6 +110,118 @@
   expect(a.owner.authority()).not.toEqual('leased');
 });
 
+test('an owner that was suspended past its hold time is no owner when it resumes', async () => {
+  // Guards against recorded work that continues beside a successor, which waits for the hold time only.
+  const cluster = TestCluster.create();
+  const a = await cluster.startOwner('a', 1, { holdMs: 10_000 });
+  a.process.suspend();
+  await cluster.advanceTime(10_500);
+  a.process.resume();
+  expect([a.owner.authority(), a.owner.token()]).toEqual(['none', undefined]);
+});
+
+test('an owner that was suspended during an append is not leased by its late acknowledgement', async () => {
+  // Guards against a lease that counts from the end of a suspension because the append was sent before it.
+  const cluster = TestCluster.create();
+  const a = await cluster.startOwner('a');
+  const b = cluster.start('b');
+  await cluster.advanceTime(100);
+  const inFlight = cluster.commit(a);
+  a.process.suspend();
+  await cluster.advanceTime(20);
+  void b.owner.claim();
+  await cluster.advanceTime(4_000);
+  expect(b.owner.authority()).toEqual('leased');
+  a.process.resume();
+  await cluster.advanceTime(20, 1);
+  expect(a.owner.authority()).not.toEqual('leased');
+  await cluster.advanceTime(300);
+  expect(a.owner.authority()).toEqual('none');
+  // The record was appended before the claim of the successor, which the read after the suspension shows.
+  expect(cluster.results.get(inFlight)).toEqual('durable');
+  expect(await cluster.findViolations()).toEqual([]);
+});
+
+test('a claimant that was suspended between its claim and the read of it is not leased beside its successor', async () => {
+  // Guards against a new owner whose lease does not count the suspension in which another process replaced it.
+  const cluster = TestCluster.create();
+  const a = cluster.start('a');
+  const b = cluster.start('b');
+  await cluster.advanceTime(100);
+  // The reply to the read that shows the claim takes 400 ms, and the suspension begins before it arrives.
+  const slowRead: Fault = { type: 'none', latencyMs: 400 };
+  let hasAppended = false;
+  a.fault = (call) => {
+    hasAppended ||= call === 'append';
+    return hasAppended && call === 'read' ? slowRead : noFault;
+  };
+  void a.owner.claim();
+  await cluster.advanceTime(300);
+  expect([a.owner.authority(), b.owner.holder()?.process]).toEqual(['none', 'a']);
+  a.process.suspend();
+  void b.owner.claim();
+  await cluster.advanceTime(4_000);
+  expect(b.owner.authority()).toEqual('leased');
+  a.process.resume();
+  a.fault = () => noFault;
+  await cluster.advanceTime(2_000, 1);
+  expect(a.owner.authority()).toEqual('none');
+  expect(await cluster.findViolations()).toEqual([]);
+});
+
+test('an owner whose wall clock jumps ahead by less than its hold time is leased again under its token', async () => {
+  // Guards against a jump of the wall clock that costs the owner more than one append.
+  const cluster = TestCluster.create();
+  const a = await cluster.startOwner('a');
+  const token = a.owner.token();
+  a.process.jumpWall(600_000);
+  expect(a.owner.authority()).toEqual('holding');
+  await cluster.advanceTime(1_000);
+  expect([a.owner.authority(), a.owner.token()]).toEqual(['leased', token]);
+  expect(await cluster.findViolations()).toEqual([]);
+});
+
+test('an owner whose wall clock jumps ahead by more than its hold time stops and can claim again', async () => {
+  // Guards against an owner that never recovers from a jump of its wall clock.
+  const cluster = TestCluster.create();
+  const a = await cluster.startOwner('a');
+  a.process.jumpWall(24 * 3_600_000);
+  expect(a.owner.authority()).toEqual('none');
+  void a.owner.claim();
+  await cluster.advanceTime(3_000);
+  expect(a.owner.authority()).toEqual('leased');
+  expect(await cluster.findViolations()).toEqual([]);
+});
+
+test('an owner whose wall clock is set back while it is paused is not leased past its lease', async () => {
+  // Guards against a lease that is extended by a wall clock that was set back.
+  const cluster = TestCluster.create();
+  const a = await cluster.startOwner('a');
+  const b = cluster.start('b');
+  await cluster.advanceTime(100);
+  a.process.pause();
+  a.process.jumpWall(-3_600_000);
+  void b.owner.claim();
+  await cluster.advanceTime(4_000);
+  expect([a.owner.authority(), b.owner.authority()]).toEqual(['holding', 'leased']);
+  expect(await cluster.findViolations()).toEqual([]);
+});
+
+test('an owner appends a snapshot after suspensions that add up to a third of the retention time', async () => {
+  // Guards against retention that removes the only snapshot because its age does not count suspensions.
+  const cluster = TestCluster.create(30_000);
+  const a = await cluster.startOwner('a', 1, { holdMs: 20_000 });
+  const before = a.owner.describe().lastSnapshot;
+  for (let suspensions = 0; suspensions < 2; suspensions += 1) {
+    a.process.suspend();
+    await cluster.advanceTime(6_000);
+    a.process.resume();
+    await cluster.advanceTime(500);
+  }
+  expect(a.owner.describe().lastSnapshot).not.toEqual(before);
+  expect(a.owner.authority()).toEqual('leased');
+});
+
 test('entries that the claim of a successor made invalid are reported as not appended', async () => {
   // Guards against `append-unknown` for entries although the journal shows that they did not take effect,
   // because the claim of the successor precedes them.
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,5 +1,6 @@
 import { createActor } from 'xstate';
 import { err, ok, type Result } from 'true-myth/result';
+import type { Instant } from '@acaciahoist/clock/instant';
 import { Failure } from '@acaciahoist/errors';
 import { GroupCommit } from '@acaciahoist/group-commit';
 import { Journal } from '@acaciahoist/journal';
@@ -19,6 +20,9 @@
 
 type MachineEvent = Parameters<ReturnType<typeof createActor<typeof ownershipMachine>>['send']>[0];
 
+/** Shortest delay of the timer for due work, which is the resolution of Node's timers. */
+const MIN_TIMER_MS = 1;
+
 const AUTHORITY_BY_STATUS: Readonly<Record<string, Authority>> = {
   leased: Authority.leased,
   holding: Authority.holding,
@@ -56,8 +60,9 @@
       this.reader.stream,
       options.isOwnerAlive ?? (() => false),
     );
-    this.lease = Lease.create(options.leaseMs, options.holdMs);
+    this.lease = Lease.create(clock, options.leaseMs, options.holdMs);
     this.snapshotSchedule = SnapshotSchedule.create(
+      clock,
       this.journal,
       options.retentionMs,
       options.snapshotEntries ?? 2_000,
@@ -102,8 +107,8 @@
   }
 
   /**
-   * What this process may do now. Each call compares the lease with the clock, so that a process that
-   * was paused past the end of its lease is not `leased` when it resumes.
+   * What this process may do now. Each call determines the age of the lease, so that a process that was paused
+   * or suspended past the end of its lease is not `leased` when it resumes.
    */
   authority(): Authority {
     this.updateStatus();
@@ -185,15 +190,14 @@
 
   /** Values for the state dump. */
   describe(): Record<string, unknown> {
-    const nowMs = this.options.clock.monotonicMs();
     return {
       partition: this.options.partition,
       authority: this.authority(),
       status: this.status,
       token: this.ownToken ?? null,
       holder: this.holder() ?? null,
-      leaseLeftMs: Math.max(0, this.lease.leaseUntilMs() - nowMs),
-      holdLeftMs: Math.max(0, this.lease.holdUntilMs() - nowMs),
+      leaseLeftMs: Math.max(0, this.lease.leaseLeftMs()),
+      holdLeftMs: Math.max(0, this.lease.holdLeftMs()),
       ...describeJournal(this.journal),
       commits: this.groupCommit?.describe() ?? null,
     };
@@ -219,15 +223,15 @@
       void this.follower.start();
       return err(claimed.error);
     }
-    const { token, leaseStartMs } = claimed.value;
-    this.startOwning(token, leaseStartMs);
+    const { token, leaseStart } = claimed.value;
+    this.startOwning(token, leaseStart);
     return ok(token);
   }
 
-  private startOwning(token: Offset, leaseStartMs: number): void {
+  private startOwning(token: Offset, leaseStart: Instant): void {
     const { options } = this;
     this.lease.clear();
-    this.lease.extend(leaseStartMs);
+    this.lease.extend(leaseStart);
     this.snapshotSchedule.reset();
     this.ownToken = token;
     const groupCommit = GroupCommit.create({
@@ -239,15 +243,15 @@
       applyAcknowledged: (record) => {
         this.reader.applyOwn(record);
       },
-      isLeaseValid: () => options.clock.monotonicMs() < this.lease.leaseUntilMs(),
+      isLeaseValid: () => this.lease.leaseLeftMs() > 0,
       commitIntervalMs: options.commitIntervalMs,
       appendTimeoutMs: this.appendTimeoutMs(),
       entryWaitMs: options.entryWaitMs ?? options.leaseMs,
       maxWaitingEntries: options.maxWaitingEntries ?? 10_000,
       maxWaitingBytes: options.maxWaitingBytes ?? 8 * 1024 * 1024,
-      onDurable: (durableSinceMs) => {
+      onDurable: (since) => {
         if (this.groupCommit !== groupCommit) return;
-        this.lease.extend(durableSinceMs);
+        this.lease.extend(since);
         this.updateStatus();
         this.performDueWork();
       },
@@ -272,13 +276,12 @@
 
   /** Changes the status when the lease or the hold time has ended, or the lease is valid again. */
   private updateStatus(): void {
-    const nowMs = this.options.clock.monotonicMs();
     if (this.status !== 'leased' && this.status !== 'holding') return;
-    if (nowMs >= this.lease.holdUntilMs()) {
+    if (this.lease.holdLeftMs() <= 0) {
       this.stopOwning();
       return;
     }
-    const isValid = nowMs < this.lease.leaseUntilMs();
+    const isValid = this.lease.leaseLeftMs() > 0;
     if (this.status === 'leased' && !isValid) this.sendEvent({ type: 'lapsed' });
     if (this.status === 'holding' && isValid) this.sendEvent({ type: 'renewed' });
   }
@@ -289,18 +292,19 @@
     this.updateStatus();
     const { groupCommit, options } = this;
     if (groupCommit === undefined || this.status === 'releasing') return;
-    const nowMs = options.clock.monotonicMs();
-    if (this.snapshotSchedule.isDue(nowMs)) groupCommit.requestSnapshot();
-    const renewAtMs = this.lease.leaseStartMs() + options.renewMs;
-    if (nowMs >= renewAtMs) groupCommit.requestRenewal();
+    if (this.snapshotSchedule.isDue()) groupCommit.requestSnapshot();
+    const untilRenewalMs = options.renewMs - this.lease.ageMs();
+    if (untilRenewalMs <= 0) groupCommit.requestRenewal();
     if (this.status === 'holding') void this.readWhileHolding(groupCommit);
-    const remainingTimesMs = [renewAtMs, this.lease.leaseUntilMs(), this.lease.holdUntilMs()]
-      .map((atMs) => atMs - nowMs)
-      .filter((remainingMs) => remainingMs > 0);
+    const remainingTimesMs = [
+      untilRenewalMs,
+      this.lease.leaseLeftMs(),
+      this.lease.holdLeftMs(),
+    ].filter((remainingMs) => remainingMs > 0);
     // Repeats an overdue renewal, which the log may have refused; less often during an outage.
     const retryMs = this.status === 'holding' ? options.renewMs : options.renewMs / 4;
-    const delayMs = Math.min(...remainingTimesMs, nowMs >= renewAtMs ? retryMs : Infinity);
-    this.cancelTimer = options.clock.after(delayMs, () => {
+    const delayMs = Math.min(...remainingTimesMs, untilRenewalMs <= 0 ? retryMs : Infinity);
+    this.cancelTimer = options.clock.after(Math.max(MIN_TIMER_MS, delayMs), () => {
       this.performDueWork();
     });
   }
--- a/packages/ownership/src/publication-attempt.ts
+++ b/packages/ownership/src/publication-attempt.ts
@@ -74,9 +74,9 @@
       mayBeAppended = true;
       const offset = appended.isOk ? appended.value : -1;
       const isTimedOut = () => clock.monotonicMs() >= deadlineAtMs;
-      const lastReadStartedAtMs = await reader.readPast(offset, clock, isTimedOut);
+      const lastReadStart = await reader.readPast(offset, clock, isTimedOut);
       if (this.verdict !== undefined) return this.createResult(this.verdict);
-      if (lastReadStartedAtMs === undefined) break;
+      if (lastReadStart === undefined) break;
     }
     const message =
       'The publication was sent and its result is unknown; the configuration in force will show it.';
--- a/packages/ownership/src/snapshot-schedule.ts
+++ b/packages/ownership/src/snapshot-schedule.ts
@@ -1,3 +1,5 @@
+import type { Clock } from '@acaciahoist/clock';
+import { Instant } from '@acaciahoist/clock/instant';
 import type { Journal } from '@acaciahoist/journal';
 import type { Offset } from '@acaciahoist/types/offset';
 
@@ -9,39 +11,49 @@
  * not remove the only one, or after enough entries.
  */
 export class SnapshotSchedule {
-  static create(journal: Journal, retentionMs: number, minEntries: number): SnapshotSchedule {
-    return new SnapshotSchedule(journal, retentionMs, minEntries);
+  static create(
+    clock: Clock,
+    journal: Journal,
+    retentionMs: number,
+    minEntries: number,
+  ): SnapshotSchedule {
+    return new SnapshotSchedule(clock, journal, retentionMs, minEntries);
   }
 
   private lastSnapshotOffset: Offset = -1;
-  private lastSnapshotSeenAtMs = -Infinity;
-  private requestedAtMs = -Infinity;
+  private lastSnapshotSeen: Instant;
+  private lastRequest: Instant;
 
   private constructor(
+    private readonly clock: Clock,
     private readonly journal: Journal,
     private readonly retentionMs: number,
     private readonly minEntries: number,
-  ) {}
+  ) {
+    this.lastSnapshotSeen = Instant.create(clock, Infinity);
+    this.lastRequest = Instant.create(clock, Infinity);
+  }
 
   /** Makes a snapshot due at once. For a new owner, as the age of the last snapshot is unknown. */
   reset(): void {
     this.lastSnapshotOffset = this.journal.lastSnapshot();
-    this.lastSnapshotSeenAtMs = -Infinity;
-    this.requestedAtMs = -Infinity;
+    this.lastSnapshotSeen = Instant.create(this.clock, Infinity);
+    this.lastRequest = Instant.create(this.clock, Infinity);
   }
 
   /** Returns true when the caller must append a snapshot now, and then false until the retry time. */
-  isDue(nowMs: number): boolean {
+  isDue(): boolean {
     const offset = this.journal.lastSnapshot();
     if (offset !== this.lastSnapshotOffset) {
       this.lastSnapshotOffset = offset;
-      this.lastSnapshotSeenAtMs = nowMs;
-      this.requestedAtMs = -Infinity;
+      this.lastSnapshotSeen = Instant.create(this.clock);
+      this.lastRequest = Instant.create(this.clock, Infinity);
     }
-    if (nowMs - this.requestedAtMs < Math.min(MAX_RETRY_MS, this.retentionMs / 12)) return false;
-    const isOld = nowMs - this.lastSnapshotSeenAtMs >= this.retentionMs / 3;
+    const retryMs = Math.min(MAX_RETRY_MS, this.retentionMs / 12);
+    if (this.lastRequest.ageMs() < retryMs) return false;
+    const isOld = this.lastSnapshotSeen.ageMs() >= this.retentionMs / 3;
     if (!isOld && this.journal.entriesSinceSnapshot() < this.requiredEntries()) return false;
-    this.requestedAtMs = nowMs;
+    this.lastRequest = Instant.create(this.clock);
     return true;
   }
 
--- a/packages/ownership/src/test-process.ts
+++ b/packages/ownership/src/test-process.ts
@@ -18,6 +18,7 @@
   private suspendedSinceMs: number | undefined;
   /** Total duration in ms of the suspensions that have ended. */
   private suspendedMs = 0;
+  private wallOffsetMs = 0;
   private deferredCallbacks: (() => void)[] = [];
 
   private constructor(
@@ -26,7 +27,7 @@
   ) {
     this.clock = {
       monotonicMs: () => ((this.suspendedSinceMs ?? base.monotonicMs()) - this.suspendedMs) * rate,
-      wallMs: () => base.wallMs(),
+      wallMs: () => base.wallMs() + this.wallOffsetMs,
       after: (delayMs, run) => {
         let isCancelled = false;
         const cancel = base.after(delayMs / rate, () => {
@@ -55,6 +56,11 @@
     this.suspendedSinceMs ??= this.base.monotonicMs();
   }
 
+  /** Shifts the wall clock of this process only. */
+  jumpWall(byMs: number): void {
+    this.wallOffsetMs += byMs;
+  }
+
   resume(): void {
     this.paused = false;
     if (this.suspendedSinceMs !== undefined)
