Send no request under a grant that expired in a suspension

A process whose machine was suspended between the grant of a slot and the send of the request sent it with the whole remaining deadline, although the pool, in another process, had counted the slot as free and could have granted it again: two requests on one slot of a runner.

Cause: the end of the grant was a monotonic time, which does not count a suspension. The age of the slot request is now an Instant. After a jump of the wall clock ahead the requests that wait for their send at that moment fail as not sent.

Evidence: the new test of the router sent the request (endpoint-failed in place of deadline-exceeded) and passes now; the tests of request-router, slot-pool and entry pass.

--- a/packages/request-router/src/request-router-rules.test.ts
+++ b/packages/request-router/src/request-router-rules.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { err, ok } from 'true-myth/result';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
+import { PausableClock } from '@acaciahoist/clock/pausable-clock';
 import { Failure } from '@acaciahoist/errors';
 import { RequestRouter } from './request-router.js';
 import { RetryBudget } from './retry-budget.js';
@@ -117,6 +118,42 @@
   expect(router.describe().lateGrants).toEqual(1);
 });
 
+test('the router does not send under a grant that expired while its machine was suspended', async () => {
+  // Guards against the use of a slot that its owner already counts as free: monotonic time does not count a
+  // suspension.
+  const base = ManualClock.create();
+  const clock = PausableClock.create(base);
+  const released: string[] = [];
+  let sendCount = 0;
+  const router = RequestRouter.create({
+    clock,
+    health: RunnerHealth.create({
+      clock,
+      random: () => 0.5,
+      listRunners: () => RouterFixture.runners,
+    }),
+    budget: RetryBudget.create(clock),
+    holder: 'p',
+    createId: () => 'g',
+    acquire: () => {
+      clock.suspend();
+      base.advance(5_000);
+      clock.resume();
+      return Promise.resolve(ok({ grantId: 'g', runner: 'a', token: 1, deadlineMs: 300 }));
+    },
+    release: (grantId, result) => released.push(`${grantId} ${result}`),
+    send: () => {
+      sendCount += 1;
+      return Promise.resolve(err(Failure.create('outcome-unknown', 'not expected')));
+    },
+  });
+  const request = { requestId: 'x', service: 's', user: 'u', team: 't', lane: 'heavy' as const };
+  const content = { contentType: 'text/plain', body: new Uint8Array(), deadlineMs: 300 };
+  const result = await router.route({ ...request, ...content });
+  expect(result.isErr && result.error.kind).toEqual('deadline-exceeded');
+  expect([sendCount, ...released]).toEqual([0, 'g not-sent']);
+});
+
 test('the router does not eject a runner to which requests were sent with little time left', async () => {
   // Guards against ejecting runners for timeouts that an overload causes, which would increase the overload.
   const clock = ManualClock.create();
--- a/packages/request-router/src/runner-caller.ts
+++ b/packages/request-router/src/runner-caller.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'true-myth/result';
+import { Instant } from '@acaciahoist/clock/instant';
 import { Failure } from '@acaciahoist/errors';
 import type { SlotGrant } from '@acaciahoist/slot-pool/slot-grant';
 import { ReleaseResult } from '@acaciahoist/slot-pool/release-result';
@@ -13,8 +14,8 @@
 /** A granted slot and the time limit for its use. */
 interface GrantedSlot {
   grant: SlotGrant;
-  /** Monotonic time of this process at which the grant ends. */
-  endsAtMs: number;
+  /** When the slot was requested; the deadline of the grant counts from here. */
+  requested: Instant;
   /** Time from the slot request to the grant. */
   waitMs: number;
 }
@@ -55,6 +56,7 @@
     ejected: readonly string[],
   ): Promise<GrantedSlot | RunnerCallResult> {
     const { clock, acquire, release, holder, createId } = this.options;
+    const requested = Instant.create(clock);
     const requestedAtMs = clock.monotonicMs();
     const deadlineMs = call.deadlineAtMs - requestedAtMs;
     const grantId = createId();
@@ -68,7 +70,7 @@
     if (settled.type === 'value') {
       if (settled.value.isErr) return { type: 'refused', failure: settled.value.error, waitMs };
       const grant = settled.value.value;
-      return { grant, endsAtMs: requestedAtMs + grant.deadlineMs, waitMs };
+      return { grant, requested, waitMs };
     }
     release(grantId, ReleaseResult.notSent);
     if (settled.type !== 'rejected') this.releaseLateGrant(grantId, grantPromise);
@@ -97,9 +99,11 @@
     const { clock, send, release } = this.options;
     const { grant, waitMs } = slot;
     const { requestId, service, contentType, body, signal } = call;
-    const endsAtMs = Math.min(call.deadlineAtMs, slot.endsAtMs);
     // There must be no `await` between these checks and the send: the grant or the lease could end meanwhile.
-    const deadlineMs = endsAtMs - clock.monotonicMs();
+    const deadlineMs = Math.min(
+      call.deadlineAtMs - clock.monotonicMs(),
+      grant.deadlineMs - slot.requested.ageMs(),
+    );
     const preSendFailure = deadlineMs <= 0 ? preSendFailures.timeout() : call.beforeSend();
     if (preSendFailure !== undefined) {
       release(grant.grantId, ReleaseResult.notSent);
