Stop an entry process that is still starting

An entry process that found neither the platform nor a peer with a configuration did not stop on SIGTERM: five such processes stayed alive for 16 minutes, and each further signal was only logged as ignored.

Cause: the command awaited the end of the start before it waited for the signal, and the start repeats its queries until the platform or a peer answers. The stop itself ended neither that loop nor a start that was still binding its addresses, so that a process could become ready during its stop, hold a port after it, or follow partitions of a configuration that arrived after all were released.

The command no longer awaits the start. A stop ends the start at its next step: its loop, the queries of the remaining seeds, and everything after the bind, which the stop waits for. No partition is followed any more once the stop began. A start that fails still ends the process with its message and exit code.

--- a/packages/cli/src/commands/entry/index.ts
+++ b/packages/cli/src/commands/entry/index.ts
@@ -37,15 +37,14 @@
         log('warn', 'signal-ignored', { reason: 'the process is already stopping' });
       });
       const entry = Entry.create(settings.value, io.clock, log);
-      try {
-        await entry.start();
-      } catch (error) {
+      // Not awaited: while neither the platform nor a peer answers, the start does not end before the stop.
+      void entry.start().catch((error: unknown) => {
         const reason = error instanceof Error ? error.message : String(error);
         const message = `cannot listen on ${listen} and ${peerListen}: ${reason}; choose free addresses in ${file}`;
         printFailure(io, createCallFailure('internal', message), false);
         // Timers and sockets opened before the failure would prevent the process from exiting.
         process.exit(answers.internal.exitCode);
-      }
+      });
       await stopSignal;
       await entry.stop();
       return 0;
--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -108,6 +108,30 @@
   expect((await cell.call(0, 'GET', '/ready')).status).toEqual(200);
 });
 
+// Guards against a server that is bound after the stop has closed it, so that the process does not exit.
+test('an entry process that is stopped while it binds its addresses keeps neither of them', async (context) => {
+  const lines: string[] = [];
+  const cell = await EmbeddedCell.create({
+    dataCentres: { 'dc-a': 1 },
+    users: ['u'],
+    standIn: { workers: { count: 1 }, runners: { count: 1 } },
+    settings: { drainDelayMs: 0 },
+    write: (line) => lines.push(line),
+  });
+  context.after(() => cell.stop());
+  const [address = ''] = cell.plannedEntries.keys();
+  await cell.entries.get(address)?.stop();
+  lines.length = 0;
+  const started = cell.startEntry(address);
+  await cell.entries.get(address)?.stop();
+  await started;
+  expect(lines.filter((line) => line.includes('event=ready '))).toEqual([]);
+  // Both addresses are free again.
+  const restarted = await cell.startEntry(address);
+  expect((await cell.call(0, 'GET', '/ready')).status).toEqual(200);
+  await restarted.stop();
+});
+
 // Guards against a token that reads or cancels the work of another user.
 test('the caller service lets a token read and cancel only the jobs of its users', async (context) => {
   const permissions = { mayApply: false, maySubmit: true, mayReadAccount: false };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -67,6 +67,8 @@
   private readonly requestCounter: RequestCounter;
   private readonly peerService: PeerService;
   private isReady = false;
+  /** Resolves when `start` has bound the addresses; undefined before. */
+  private listening: Promise<void> | undefined;
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -133,7 +135,7 @@
       context: this.context,
       slotAccess,
       listVms: () => this.vmWatcher.list(),
-      isStopping: () => this.stopping !== undefined,
+      isStopping: () => this.isStopping(),
       callPeer: (address, type, body, deadlineMs) =>
         this.peerClient.call(address, type, body, deadlineMs),
     });
@@ -220,19 +222,25 @@
     });
   }
 
-  /** Binds the addresses, reads the configuration and becomes ready. Rejects when an address is in use. */
+  /**
+   * Binds the addresses, reads the configuration and becomes ready. Rejects when an address is in use. Ends
+   * without becoming ready after `stop` was called.
+   */
   async start(): Promise<void> {
-    await this.peerServer.start();
-    await this.httpServer.start();
+    if (this.isStopping()) return;
+    this.listening = this.listen();
+    await this.listening;
+    if (this.isStopping()) return;
     this.context.membership.addAddresses(this.settings.seeds, []);
     this.context.membership.start();
     void this.vmWatcher.start();
     this.requestCounter.start();
     const read = await this.configuration.follow();
-    if (read.isErr) {
+    if (read.isErr && !this.isStopping()) {
       this.log('warn', 'configuration-read-failed', { kind: read.error.kind });
       await this.adoptPeerConfiguration();
     }
+    if (this.isStopping()) return;
     this.isReady = true;
     this.log('info', 'ready', {
       revision: this.configuration.current().revision,
@@ -307,7 +315,7 @@
     return {
       incarnation: this.identity.incarnation,
       dataCentre: this.identity.dataCentre,
-      ready: this.isReady && this.stopping === undefined,
+      ready: this.isReady && !this.isStopping(),
       revision: this.configuration.current().revision,
       held: this.partitions.listOwnedViews(),
     };
@@ -354,10 +362,10 @@
 
   /**
    * Reads the configuration in force from a peer, because the log is unavailable at the start. Repeats this
-   * until a peer or the log answers.
+   * until a peer or the log answers or the process stops.
    */
   private async adoptPeerConfiguration(): Promise<void> {
-    while (this.stopping === undefined) {
+    while (!this.isStopping()) {
       for (const address of this.settings.seeds) {
         if (address === this.identity.process) continue;
         const reply = await this.peerClient.call(
@@ -366,6 +374,7 @@
           {},
           CONNECT_TIMEOUT_MS,
         );
+        if (this.isStopping()) return;
         if (reply.isOk) this.configuration.adoptPeer({ ...reply.value, atMs: 0 });
       }
       if (this.configuration.current().revision > 0) return;
@@ -376,11 +385,22 @@
     }
   }
 
+  private async listen(): Promise<void> {
+    await this.peerServer.start();
+    await this.httpServer.start();
+  }
+
+  private isStopping(): boolean {
+    return this.stopping !== undefined;
+  }
+
   private async shutDown(): Promise<void> {
     this.log('info', 'stopping');
     this.isReady = false;
     // Until the load balancer has read that the process is not ready, it still sends requests.
     await new Promise<void>((resolve) => this.clock.after(this.settings.drainDelayMs, resolve));
+    // A server that is bound after its stop would keep the process alive. `start` rejects with the reason of a failure.
+    await this.listening?.catch(() => undefined);
     await this.httpServer.stop();
     await this.router.drain();
     await this.requestCounter.flush();
--- a/packages/entry/src/partition-set.ts
+++ b/packages/entry/src/partition-set.ts
@@ -41,9 +41,11 @@
   applyDeclaration(declaration: Declaration): void {
     this.declaration = declaration;
     this.partitionLayout = PartitionLayout.create(declaration);
-    const { context } = this.options;
+    const { context, isStopping } = this.options;
     for (const partition of this.partitionLayout.listInDataCentre(context.settings.dataCentre)) {
-      if (!this.hosts.has(partition)) this.followPartition(partition, declaration.period);
+      // `releaseAll` would not release a partition that is added after it.
+      if (!this.hosts.has(partition) && !isStopping())
+        this.followPartition(partition, declaration.period);
     }
     this.updateHosts();
   }
