Add acaciahoist explain, which finds the deciding line of an id in logs

Until now an operator had to know which of about 60 events to grep for, in the logs of which process.

Design: the files are read twice in pieces, first for the lines of the id, then for the state of the processes around the moment, so that memory does not grow with the logs: at most 2,000 lines of the id and four lines for each event of each process are kept. Lines are parsed with or without a time and a machine name in front; the time in front orders them when all have it, since it is one clock. Lines that cannot be parsed are counted. An id that no line names is not-found (exit code 4), an unreadable file bad-request (2). CommandIo gets readChunks.

--- a/packages/cli/src/command-io.ts
+++ b/packages/cli/src/command-io.ts
@@ -8,5 +8,7 @@
   printError(text: string): void;
   /** Rejects when the file cannot be read. */
   readFile(path: string): Promise<Uint8Array>;
+  /** Reads a file of any size piece by piece. Throws while it is read when that fails. */
+  readChunks(path: string): AsyncIterable<Uint8Array>;
   clock: Clock;
 }
--- a/packages/cli/src/create-system-io.ts
+++ b/packages/cli/src/create-system-io.ts
@@ -1,3 +1,4 @@
+import { createReadStream } from 'node:fs';
 import { readFile } from 'node:fs/promises';
 import { SystemClock } from '@acaciahoist/clock/system-clock';
 import type { CommandIo } from './command-io.js';
@@ -12,6 +13,7 @@
       process.stderr.write(text);
     },
     readFile: (path) => readFile(path),
+    readChunks: (path) => createReadStream(path) as AsyncIterable<Uint8Array>,
     clock: SystemClock.create(),
   };
 }
--- a/packages/cli/src/docs.test.ts
+++ b/packages/cli/src/docs.test.ts
@@ -1,9 +1,10 @@
-import { existsSync, readFileSync, readdirSync } from 'node:fs';
+import { createReadStream, existsSync, readFileSync, readdirSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { test } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'earl';
 import { answers } from '@acaciahoist/errors/answers';
+import type { CommandIo } from './command-io.js';
 import { checkFile } from './commands/check/check-file.js';
 import { runCommandLine } from './run-command-line.js';
 
@@ -38,6 +39,16 @@
     .map((line) => line.replaceAll('"$JOB"', 'north-1.0:17').trim().split(/ +/));
 }
 
+const ioWithoutFiles: CommandIo = {
+  print: () => undefined,
+  printError: () => undefined,
+  readFile: () => Promise.reject(new Error('no file can be read here')),
+  readChunks: () => {
+    throw new Error('no file can be read here');
+  },
+  clock: { monotonicMs: () => 0, wallMs: () => 0, after: () => () => undefined },
+};
+
 /** Runs a command line without a server and with unreadable files, so that it only checks its arguments. */
 async function runWithoutServer(args: readonly string[]): Promise<string> {
   const serverIndex = args.indexOf('--server');
@@ -48,10 +59,9 @@
   );
   let output = '';
   await runCommandLine(argsWithoutServer, {
+    ...ioWithoutFiles,
     print: (text) => (output += text),
     printError: (text) => (output += text),
-    readFile: () => Promise.reject(new Error('no file can be read here')),
-    clock: { monotonicMs: () => 0, wallMs: () => 0, after: () => () => undefined },
   });
   return output;
 }
@@ -77,6 +87,32 @@
   );
 });
 
+test('the program prints the explanations of jobs that docs/OPERATIONS.md shows', async () => {
+  // Guards against examples in the page that no longer match the output of the program.
+  const fixture = join(root, 'packages/cli/src/commands/explain/fixtures/store-outage.txt');
+  const examples = listCodeBlocks(readRepositoryFile('docs/OPERATIONS.md'), '')
+    .map((block) => block.trimEnd().split('\n'))
+    .filter(([first = '']) => first.startsWith('$ acaciahoist explain '));
+  expect(examples.length).toBeGreaterThan(2);
+  for (const [first = '', ...shownLines] of examples) {
+    const [, , , id = '', file] = first.split(' ');
+    expect(file).toEqual('all.txt');
+    let output = '';
+    const exitCode = await runCommandLine(['explain', id, fixture], {
+      ...ioWithoutFiles,
+      print: (text) => (output += text),
+      readChunks: (path) => createReadStream(path) as AsyncIterable<Uint8Array>,
+    });
+    expect(exitCode).toEqual(0);
+    const printedLines = output.split('\n');
+    for (const line of shownLines.filter((shown) => shown !== '...')) {
+      const index = printedLines.indexOf(line);
+      expect([line, index >= 0]).toEqual([line, true]);
+      printedLines.splice(0, index + 1);
+    }
+  }
+});
+
 test('the error table in docs/callers.md equals the table in the code', () => {
   // Guards against callers that retry wrongly because the page was not changed with the code.
   const row =
--- a/packages/cli/src/run-command-line.test.ts
+++ b/packages/cli/src/run-command-line.test.ts
@@ -63,6 +63,9 @@
         const text = files[path];
         return text === undefined ? readFile(`${root}${path}`) : Promise.resolve(Buffer.from(text));
       },
+      readChunks: () => {
+        throw new Error('no command of these tests reads a file in pieces');
+      },
       clock: {
         monotonicMs: () => 0,
         wallMs: () => 0,
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -8,6 +8,7 @@
 import { createCheckCommand } from './commands/check/index.js';
 import { createDumpCommand } from './commands/dump/index.js';
 import { createEntryCommand } from './commands/entry/index.js';
+import { createExplainCommand } from './commands/explain/index.js';
 import { createQuickstartCommand } from './commands/quickstart/index.js';
 import { createStandInCommand } from './commands/stand-in/index.js';
 import { createStatusCommand } from './commands/status/index.js';
@@ -29,6 +30,7 @@
       cancel: createCancelCommand(io),
       account: createAccountCommands(io),
       dump: createDumpCommand(io),
+      explain: createExplainCommand(io),
       entry: createEntryCommand(io),
       'stand-in': createStandInCommand(io),
       quickstart: createQuickstartCommand(io),
