Add a fault soak of the product's own interface

acaciahoist soak runs entry processes from the bundle against the stand-in and draws from a seed, as data before it carries them out, series of stops, kills, pauses, log faults, faults of links, publications and bursts of cancellations that overlap. After each round all faults end, the cell must recover, and the history of callers, runners, workers, log and journals is checked, together with lost keys, jobs and publications, oversold endpoints, unexpected exits and planned stops that do not end.

The cell, the load, the history and the burst of cancellations are those of the recovery runs, which now take the interval, the processes and the way of calling as options. A module that Node.js loads before the program connects each process to its peers, the log and the VM list through a TCP proxy of its own, because an entry process has one address for listening and as its name. A proxy refuses connections once its target has exited, as the address of an ended process does. A process that is killed during its planned stop no longer counts as one that ended it, as the checker of the stops expects.

--- a/packages/bench/src/recovery/build-history.ts
+++ b/packages/bench/src/recovery/build-history.ts
@@ -5,12 +5,14 @@
 import type { RecoveryCell } from './recovery-cell.js';
 import type { RecoveryLoad } from './recovery-load.js';
 
+type Load = Pick<RecoveryLoad, 'keyByScheduledJobId'>;
+
 /** Capacities of the simulated runners and workers: the defaults of the simulated platform. */
 const RUNNER_SLOTS = 8;
 const WORKER_RESOURCES = { millicores: 32_000, memoryMib: 65_536, accelerators: {} };
 
 /** Returns the events that callers, processes, the log, the runners and the workers recorded. */
-export function buildHistory(cell: RecoveryCell, load: RecoveryLoad): readonly HistoryEvent[] {
+export function buildHistory(cell: RecoveryCell, ...loads: Load[]): readonly HistoryEvent[] {
   const { runners, workers } = cell.standIn.addresses();
   const atMs = 0;
   return [
@@ -28,7 +30,7 @@
     })),
     ...cell.observed,
     ...readRunnerEvents(cell),
-    ...readWorkerEvents(cell, load),
+    ...readWorkerEvents(cell, loads),
     ...readJournalEvents(cell),
     ...readConfigurationEvents(cell),
   ];
@@ -70,11 +72,12 @@
   return [...began, ...ended];
 }
 
-function readWorkerEvents(cell: RecoveryCell, load: RecoveryLoad): HistoryEvent[] {
+function readWorkerEvents(cell: RecoveryCell, loads: readonly Load[]): HistoryEvent[] {
   const { history } = cell.standIn;
+  const keyByScheduledJobId = new Map(loads.flatMap((load) => [...load.keyByScheduledJobId]));
   const began = history.ofType('task-began').map((event): HistoryEvent => {
     const { source: worker, taskId, jobId, declared: resources, atMs } = event;
-    const key = load.keyByScheduledJobId.get(jobId) ?? null;
+    const key = keyByScheduledJobId.get(jobId) ?? null;
     return { type: 'task-began', taskId, jobId, part: 0, worker, resources, key, atMs };
   });
   const ended = history.ofType('task-ended').flatMap((event): HistoryEvent[] => {
--- a/packages/bench/src/recovery/create-link-fault.ts
+++ b/packages/bench/src/recovery/create-link-fault.ts
@@ -6,10 +6,10 @@
  */
 export function createLinkFault(loses: 'request' | 'response', durationMs: number): Fault {
   return async ({ cell }) => {
-    const owner = cell.process(await cell.ownerOf('dc-a.0'));
-    const { address: process, incarnation } = owner;
+    const ownerIndex = await cell.ownerOf('dc-a.0');
+    const { address: process } = cell.process(ownerIndex);
     const { log, vmList } = cell.standIn.addresses();
-    cell.observe({ type: 'platform-lost', process, incarnation });
+    cell.losePlatform(ownerIndex);
     for (const target of [log, vmList]) {
       await cell.setFault(target, 'blocked-link', { process, loses });
     }
@@ -17,7 +17,7 @@
     for (const target of [log, vmList]) {
       await cell.setFault(target, 'blocked-link', { process, loses: 'none' });
     }
-    cell.observe({ type: 'platform-restored', process, incarnation });
+    cell.restorePlatform(ownerIndex);
     await cell.waitUntil(
       'an owner of each partition after the fault',
       async () => (await cell.owners()).size === 2,
--- a/packages/bench/src/recovery/entry-process.ts
+++ b/packages/bench/src/recovery/entry-process.ts
@@ -1,6 +1,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
 import type { Clock } from '@acaciahoist/clock';
+import type { ProcessExit } from './process-exit.js';
 
 interface Options {
   clock: Clock;
@@ -9,7 +10,9 @@
   /** Peer address, which is also the name of the process. */
   address: string;
   incarnation: string;
-  onExit: () => void;
+  /** Module that Node.js loads before the program. */
+  preload?: { module: string; environment: Readonly<Record<string, string>> };
+  onExit: (exit: ProcessExit) => void;
   /** Called with each line of output. */
   onLine: (line: string) => void;
 }
@@ -29,9 +32,11 @@
   private isRunning = true;
 
   private constructor(private readonly options: Options) {
-    const { bundle, settingsFile } = options;
-    this.child = spawn(process.execPath, [bundle, 'entry', settingsFile], {
+    const { bundle, settingsFile, preload } = options;
+    const nodeArgs = preload === undefined ? [] : ['--import', preload.module];
+    this.child = spawn(process.execPath, [...nodeArgs, bundle, 'entry', settingsFile], {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...preload?.environment },
     });
     for (const stream of [this.child.stdout, this.child.stderr]) {
       if (stream === null) continue;
@@ -47,15 +52,19 @@
     };
     process.once('exit', kill);
     this.exited = new Promise((resolve) => {
-      const end = (): void => {
+      const end = (exit: ProcessExit): void => {
         if (!this.isRunning) return;
         this.isRunning = false;
         process.off('exit', kill);
-        options.onExit();
+        options.onExit(exit);
         resolve();
       };
-      this.child.once('exit', end);
-      this.child.once('error', end);
+      this.child.once('exit', (code, signal) => {
+        end({ code, signal });
+      });
+      this.child.once('error', () => {
+        end({ code: null, signal: null });
+      });
     });
   }
 
--- a/packages/bench/src/recovery/recovery-cell.ts
+++ b/packages/bench/src/recovery/recovery-cell.ts
@@ -11,7 +11,9 @@
 import { callEntry } from './call-entry.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { digestText } from './digest-text.js';
+import { CellLinks } from '../soak/cell-links.js';
 import { EntryProcess } from './entry-process.js';
+import type { ProcessExit } from './process-exit.js';
 import { recoveryDeclaration } from './recovery-declaration.js';
 
 const TOKEN = 'recovery-token-0123456789';
@@ -20,6 +22,7 @@
 const DRAIN_DELAY_MS = 500;
 const DATA_CENTRE = 'dc-a';
 const HEALTH_TIMEOUT_MS = 500;
+const CALL_TIMEOUT_MS = 8_000;
 /** Two leases of 2.5 s: the partition of an owner that does not answer for so long has another owner. */
 const OWNER_ANSWER_TIMEOUT_MS = 5_000;
 
@@ -29,12 +32,18 @@
  */
 export class RecoveryCell {
   /** Starts the platform and the processes, publishes the configuration and waits for the owners. */
-  static async create(options: { processes: number; seed: number }): Promise<RecoveryCell> {
+  static async create(options: {
+    processes: number;
+    seed: number;
+    /** Connects the processes to each other and to the platform through links that can be disturbed. */
+    hasLinks?: boolean;
+  }): Promise<RecoveryCell> {
     const ports = await findFreePorts(2 * options.processes);
     const cell = new RecoveryCell(options.seed, ports);
     try {
       cell.bundle = await buildEntryBundle(cell.folder);
       await cell.standIn.start();
+      if (options.hasLinks === true) await cell.createLinks();
       for (const index of cell.processAddresses.keys()) cell.startProcess(index);
       await cell.waitUntil(
         'readiness of all processes',
@@ -60,6 +69,8 @@
   readonly standIn: StandIn;
   /** Events of the processes and of the callers, for the history checker. */
   readonly observed: HistoryEvent[] = [];
+  /** The ends of all processes so far. */
+  readonly exits: (ProcessExit & { address: string; incarnation: string })[] = [];
   readonly layout = PartitionLayout.create({
     dataCentres: [{ name: DATA_CENTRE, region: 'r', partitions: 2 }],
   });
@@ -71,7 +82,12 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'acaciahoist-recovery-'));
   private readonly agent = new Agent({ connections: 64 });
   private readySet = new Set<number>();
-  private bundle = '';
+  /** Number of faults in force that cut the process at this index off from the platform. */
+  private readonly lossCounts = new Map<number, number>();
+  private readonly pauseCancels = new Set<() => void>();
+  private readonly configurationReads = new Map<number, Promise<number>>();
+  private bundle = { program: '', redirect: '' };
+  private cellLinks: CellLinks | undefined;
   private isStopped = false;
 
   private constructor(seed: number, ports: readonly number[]) {
@@ -91,29 +107,71 @@
     void this.pollReadiness();
   }
 
-  /** Starts a new incarnation of the entry process with this index. */
+  /** Starts a new incarnation of the entry process with this index, unless the cell is stopped. */
   startProcess(index: number): void {
+    if (this.isStopped) return;
     const { listen, address } = this.addressesOf(index);
     const settingsFile = join(this.folder, `entry-${index}.json`);
     writeFileSync(settingsFile, JSON.stringify(this.createSettings(listen, address)));
     const incarnation = `${address}#${this.startedProcesses.length}`;
     this.observe({ type: 'process-started', process: address, incarnation });
+    const { program, redirect } = this.bundle;
+    const links = this.cellLinks?.addressesFor(index);
     const started = EntryProcess.create({
       clock: this.clock,
-      bundle: this.bundle,
+      bundle: program,
       settingsFile,
       address,
       incarnation,
+      ...(links === undefined
+        ? {}
+        : {
+            preload: {
+              module: redirect,
+              environment: { ACACIAHOIST_LINKS: JSON.stringify(links) },
+            },
+          }),
       onLine: (line) => {
         if (line.includes('event=configuration-in-force')) void this.observeConfiguration(index);
       },
-      onExit: () => {
-        this.observe({ type: 'stop-ended', endpoint: address });
+      onExit: (exit) => {
+        this.cellLinks?.refuseTo(index);
+        this.exits.push({ ...exit, address, incarnation });
+        // A process that was killed has not ended its planned stop.
+        if (exit.signal !== 'SIGKILL') this.observe({ type: 'stop-ended', endpoint: address });
         this.observe({ type: 'process-ended', process: address, incarnation });
       },
     });
     this.processes.set(index, started);
     this.startedProcesses.push(started);
+    void this.cellLinks?.openTo(index);
+    if ((this.lossCounts.get(index) ?? 0) > 0)
+      this.observe({ type: 'platform-lost', process: address, incarnation });
+  }
+
+  /** Number of processes that were started. */
+  get startCount(): number {
+    return this.startedProcesses.length;
+  }
+
+  /** The links of the cell, if it was created with them. */
+  get links(): CellLinks {
+    if (this.cellLinks === undefined) throw new Error('the cell was created without links');
+    return this.cellLinks;
+  }
+
+  /** Records that a fault cuts the process off from the platform, for the check of configurations. */
+  losePlatform(index: number): void {
+    const count = (this.lossCounts.get(index) ?? 0) + 1;
+    this.lossCounts.set(index, count);
+    if (count === 1) this.observeReach(index, 'platform-lost');
+  }
+
+  /** Records the end of one `losePlatform`. */
+  restorePlatform(index: number): void {
+    const count = (this.lossCounts.get(index) ?? 0) - 1;
+    this.lossCounts.set(index, count);
+    if (count === 0) this.observeReach(index, 'platform-restored');
   }
 
   /** The process that was last started at this index. */
@@ -166,16 +224,22 @@
     path: string,
     body?: unknown,
     headers: Record<string, string> = {},
-    timeoutMs = 8_000,
+    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<CallerAnswer> {
-    const url = `http://${this.addressesOf(index).listen}${path}`;
-    const text = body === undefined ? undefined : JSON.stringify(body);
-    const allHeaders = {
-      authorization: `Bearer ${TOKEN}`,
-      'content-type': 'application/json',
-      ...headers,
-    };
-    return callEntry({ agent: this.agent, url, method, headers: allHeaders, text, timeoutMs });
+    const { listen } = this.addressesOf(index);
+    return this.callAt(listen, method, path, body, headers, timeoutMs);
+  }
+
+  /** Makes one HTTP call through the link from the callers to the process with this index. */
+  callThroughLink(
+    index: number,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body?: unknown,
+    headers: Record<string, string> = {},
+  ): Promise<CallerAnswer> {
+    const { address } = this.links.find('callers', index);
+    return this.callAt(address, method, path, body, headers, CALL_TIMEOUT_MS);
   }
 
   /** Records an event with the current time. */
@@ -194,11 +258,22 @@
     }
   }
 
-  /** Records the configuration in force at a process; returns its revision, or 0 if it returns none. */
-  async observeConfiguration(index: number): Promise<number> {
+  /**
+   * Records the configuration in force at a process; returns its revision, or 0 if it returns none. Reads of
+   * one process follow one another, so that the records are in the order of its answers.
+   */
+  observeConfiguration(index: number): Promise<number> {
+    const previousRead = this.configurationReads.get(index) ?? Promise.resolve(0);
+    const read = previousRead.then(() => this.readConfiguration(index));
+    this.configurationReads.set(index, read);
+    return read;
+  }
+
+  private async readConfiguration(index: number): Promise<number> {
     const { address: process, incarnation } = this.process(index);
     const answer = await this.call(index, 'GET', '/configuration');
-    if (answer.type !== 'reply') return 0;
+    // A process that was started meanwhile may have answered.
+    if (answer.type !== 'reply' || this.process(index).incarnation !== incarnation) return 0;
     const { revision, text } = answer.body as { revision: number; text: string };
     if (revision === 0) return 0;
     const textDigest = digestText(text);
@@ -206,8 +281,15 @@
     return revision;
   }
 
+  /** Resolves after this time; never, if the cell is stopped before. */
   async pause(ms: number): Promise<void> {
-    await new Promise<void>((resolve) => this.clock.after(ms, resolve));
+    await new Promise<void>((resolve) => {
+      const cancel = this.clock.after(ms, () => {
+        this.pauseCancels.delete(cancel);
+        resolve();
+      });
+      this.pauseCancels.add(cancel);
+    });
   }
 
   /** Repeats a check until it returns true; throws after `withinMs`. */
@@ -233,8 +315,10 @@
   /** Kills all processes, stops the platform and removes the files. */
   async stop(): Promise<void> {
     this.isStopped = true;
+    for (const cancel of this.pauseCancels) cancel();
     await Promise.all(this.startedProcesses.map((started) => started.kill()));
     await this.agent.destroy();
+    this.cellLinks?.close();
     await this.standIn.stop();
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -257,6 +341,38 @@
     return { owners, isComplete };
   }
 
+  private async createLinks(): Promise<void> {
+    this.cellLinks = await CellLinks.create({
+      clock: this.clock,
+      processAddresses: this.processAddresses,
+      platform: this.standIn.addresses(),
+    });
+  }
+
+  private callAt(
+    address: string,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body: unknown,
+    headers: Record<string, string>,
+    timeoutMs: number,
+  ): Promise<CallerAnswer> {
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    const allHeaders = {
+      authorization: `Bearer ${TOKEN}`,
+      'content-type': 'application/json',
+      ...headers,
+    };
+    const url = `http://${address}${path}`;
+    return callEntry({ agent: this.agent, url, method, headers: allHeaders, text, timeoutMs });
+  }
+
+  private observeReach(index: number, type: 'platform-lost' | 'platform-restored'): void {
+    const started = this.processes.get(index);
+    if (started?.running !== true) return;
+    this.observe({ type, process: started.address, incarnation: started.incarnation });
+  }
+
   private addressesOf(index: number): { listen: string; address: string } {
     const addresses = this.processAddresses[index];
     if (addresses === undefined) throw new Error(`the cell has no entry process ${index}`);
--- a/packages/bench/src/recovery/recovery-load.ts
+++ b/packages/bench/src/recovery/recovery-load.ts
@@ -3,19 +3,39 @@
 import type { RecoveryCell } from './recovery-cell.js';
 import { recoveryJobs } from './recovery-jobs.js';
 
-/** Time between two new lookups, and between two new sealings. */
 const CALL_INTERVAL_MS = 15;
 /** Time for which a sealing or a submission is repeated; covers a failover and the wait for old grants. */
 const MAX_REPEAT_MS = 25_000;
 const REPEAT_PAUSE_MS = 100;
 
+interface Options {
+  /** Time between two new lookups, and between two new sealings. */
+  intervalMs: number;
+  /** Indexes of the processes that may be called. */
+  listProcesses: () => readonly number[];
+  /** Makes one HTTP call to the process with this index. */
+  call: RecoveryCell['callThroughLink'];
+  /** True if a connection that fails is no failure of the process, because a fault may have reset it. */
+  mayLoseConnections: boolean;
+  /** Time from which `MAX_REPEAT_MS` count for calls that began before it. */
+  repeatFromMs: () => number;
+}
+
 /**
  * Load of the recovery runs: sends lookups (requests without a key), sealings (requests with a key) and
  * jobs, repeats sealings and submissions until they have a final answer, and records the results.
  */
 export class RecoveryLoad {
-  static create(cell: RecoveryCell, name: string): RecoveryLoad {
-    return new RecoveryLoad(cell, name);
+  /** Options that are absent have the values of the recovery runs: calls to ready processes. */
+  static create(cell: RecoveryCell, name: string, options: Partial<Options> = {}): RecoveryLoad {
+    return new RecoveryLoad(cell, name, {
+      intervalMs: CALL_INTERVAL_MS,
+      listProcesses: () => cell.readyIndexes(),
+      call: (...call) => cell.call(...call),
+      mayLoseConnections: false,
+      repeatFromMs: () => 0,
+      ...options,
+    });
   }
 
   /** Final result of each key for its caller: `reply`, the kind of a final error, or `lost`. */
@@ -34,10 +54,12 @@
   private constructor(
     private readonly cell: RecoveryCell,
     private readonly name: string,
+    private readonly options: Options,
   ) {}
 
   /** Starts the lookups and sealings, which continue until `stop`, and submits one job of each kind. */
   start(): void {
+    this.isStopping = false;
     this.trackUntilSettled(this.callRepeatedly(() => this.sendLookup()));
     this.trackUntilSettled(
       this.callRepeatedly(() => this.sendSealing(`${this.name}-k${++this.counter}`)),
@@ -66,8 +88,8 @@
 
   /** Sends a request with a key until it has a final answer. */
   async sendSealing(key: string): Promise<void> {
-    const endMs = this.cell.clock.monotonicMs() + MAX_REPEAT_MS;
-    for (let attempt = 0; this.mayRepeat(endMs); attempt += 1) {
+    const startMs = this.cell.clock.monotonicMs();
+    for (let attempt = 0; this.mayRepeat(startMs); attempt += 1) {
       const index = this.pickProcess(attempt);
       const answer =
         index === undefined ? undefined : await this.sendRequest(index, 'sealing', key);
@@ -108,9 +130,11 @@
     // The body names the request or the key, so that its digest identifies it at the runner.
     const body = key ?? requestId;
     const headers: Record<string, string> = key === null ? {} : { 'idempotency-key': key };
-    const answer = await cell.call(index, 'POST', `/services/${service}`, body, headers);
+    const { call, mayLoseConnections } = this.options;
+    const answer = await call(index, 'POST', `/services/${service}`, body, headers);
     this.countAnswer(answer.type === 'error' ? answer.kind : answer.type);
-    if (answer.type === 'timeout' || answer.type === 'refused-connection') {
+    const isLost = mayLoseConnections && answer.type === 'closed';
+    if (isLost || answer.type === 'timeout' || answer.type === 'refused-connection') {
       cell.observe({ type: 'request-abandoned', requestId });
       return answer;
     }
@@ -130,11 +154,11 @@
 
   /** Submits a job through one process after another until it is accepted. */
   async submit(spec: ReturnType<typeof recoveryJobs>[number]): Promise<void> {
-    const endMs = this.cell.clock.monotonicMs() + MAX_REPEAT_MS;
-    for (let attempt = 0; this.mayRepeat(endMs); attempt += 1) {
+    const startMs = this.cell.clock.monotonicMs();
+    for (let attempt = 0; this.mayRepeat(startMs); attempt += 1) {
       const index = this.pickProcess(attempt);
       const answer =
-        index === undefined ? undefined : await this.cell.call(index, 'POST', '/jobs', spec);
+        index === undefined ? undefined : await this.options.call(index, 'POST', '/jobs', spec);
       if (answer?.type === 'reply') {
         const { jobId } = answer.body as { jobId: string };
         this.jobIds.add(jobId);
@@ -150,20 +174,21 @@
     this.countAnswer('submit-not-accepted');
   }
 
-  /** Index of a ready process, a different one for each attempt; undefined when none is ready. */
+  /** Index of a process that may be called, a different one for each attempt; undefined when none is ready. */
   private pickProcess(attempt: number): number | undefined {
-    const ready = this.cell.readyIndexes();
-    return ready[(this.counter + attempt) % Math.max(1, ready.length)];
+    const indexes = this.options.listProcesses();
+    return indexes[(this.counter + attempt) % Math.max(1, indexes.length)];
   }
 
-  private mayRepeat(endMs: number): boolean {
-    return !this.isAborted && this.cell.clock.monotonicMs() < endMs;
+  private mayRepeat(startMs: number): boolean {
+    const countFromMs = Math.max(startMs, this.options.repeatFromMs());
+    return !this.isAborted && this.cell.clock.monotonicMs() < countFromMs + MAX_REPEAT_MS;
   }
 
   private async callRepeatedly(call: () => Promise<void>): Promise<void> {
     while (!this.isStopping) {
       this.trackUntilSettled(call());
-      await this.cell.pause(CALL_INTERVAL_MS);
+      await this.cell.pause(this.options.intervalMs);
     }
   }
 
--- /dev/null
+++ b/packages/bench/src/soak/soak-action.ts
@@ -0,0 +1,22 @@
+import type { LinkChange } from './link-change.js';
+
+/** What a fault, restart or change of the configuration does from its start to its end. */
+export type SoakAction =
+  /** SIGKILL; the process starts again at the end. */
+  | { type: 'kill'; process: number }
+  /** SIGTERM; the process starts again at the end, or after its exit if that is later. */
+  | { type: 'stop'; process: number }
+  /** SIGSTOP, and SIGCONT at the end. */
+  | { type: 'pause'; process: number }
+  /** A fault of the log of the simulated platform: `on` sets it and `off` ends it. */
+  | { type: 'log'; fault: string; on: unknown; off: unknown; isOutage: boolean }
+  | {
+      type: 'link';
+      from: number | 'callers';
+      to: number | 'log' | 'vmList';
+      change: LinkChange;
+    }
+  /** Publishes a configuration through each of the processes at once, on the same base revision. */
+  | { type: 'publish'; processes: readonly number[] }
+  | { type: 'submit-jobs' }
+  | { type: 'cancel-jobs' };
--- /dev/null
+++ b/packages/bench/src/soak/soak-cell.ts
@@ -0,0 +1,176 @@
+import { buildHistory } from '../recovery/build-history.js';
+import type { RecoveryCell } from '../recovery/recovery-cell.js';
+import { RecoveryLoad } from '../recovery/recovery-load.js';
+import { waitForOutcomes } from '../recovery/wait-for-outcomes.js';
+import { checkObservation } from './check-observation.js';
+import type { SoakFigures } from './soak-figures.js';
+import type { SoakFinding } from './soak-finding.js';
+import type { SoakObservation } from './soak-observation.js';
+import type { SoakStep } from './soak-step.js';
+import { StepRunner } from './step-runner.js';
+
+/** Time between two new lookups, and between two new sealings, of each of the two loads. */
+const CALL_INTERVAL_MS = 30;
+const JOB_INTERVAL_MS = 700;
+const CONFIGURATION_INTERVAL_MS = 500;
+/** As in the recovery runs: longest wait for accepted jobs, and for owners after a fault. */
+const JOBS_TIMEOUT_MS = 30_000;
+const RECOVERY_TIMEOUT_MS = 20_000;
+/** Calls before the faults of a round and after the recovery from them. */
+const CALM_MS = 500;
+const PARTITIONS = 2;
+
+/** A cell with the load of a soak, which carries out rounds and checks the promises after each. */
+export class SoakCell {
+  static create(cell: RecoveryCell, name: string): SoakCell {
+    return new SoakCell(cell, name);
+  }
+
+  private readonly steps: StepRunner;
+  /** Calls the processes directly, also those that stop, until they are gone. */
+  private readonly directLoad: RecoveryLoad;
+  /** Calls ready processes through links that may be disturbed. */
+  private readonly linkedLoad: RecoveryLoad;
+  private readonly outcomes = new Map<string, string>();
+  private readonly missedConditions: string[] = [];
+  private findings: readonly SoakFinding[] = [];
+  private rounds = 0;
+  private recoveryMs = 0;
+  private faultsEndedAtMs = 0;
+  private isStopped = false;
+  private isLoaded = false;
+
+  private constructor(
+    private readonly cell: RecoveryCell,
+    name: string,
+  ) {
+    const common = { intervalMs: CALL_INTERVAL_MS, repeatFromMs: () => this.faultsEndedAtMs };
+    this.directLoad = RecoveryLoad.create(cell, `${name}-direct`, {
+      ...common,
+      listProcesses: () => this.listRunning(),
+    });
+    this.linkedLoad = RecoveryLoad.create(cell, `${name}-linked`, {
+      ...common,
+      call: (...call) => cell.callThroughLink(...call),
+      mayLoseConnections: true,
+    });
+    this.steps = StepRunner.create(cell, this.directLoad);
+    void this.submitJobs();
+    for (const index of cell.processAddresses.keys()) void this.observeConfigurations(index);
+  }
+
+  /** Carries out the rounds until one fails. */
+  async run(rounds: readonly (readonly SoakStep[])[]): Promise<void> {
+    for (const steps of rounds) {
+      await this.runRound(steps);
+      this.findings = checkObservation(this.observe());
+      this.rounds += 1;
+      if (this.findings.length > 0) return;
+    }
+  }
+
+  /** Figures of the rounds that ended. */
+  figures(): SoakFigures {
+    const { cell, findings } = this;
+    const { keyResults, oversold } = this.observe();
+    const results = [...keyResults.values(), ...this.outcomes.values()];
+    const answers: Record<string, number> = {};
+    for (const [answer, count] of this.loads.flatMap((load) => [...load.answerCounts]))
+      answers[answer] = (answers[answer] ?? 0) + count;
+    const isDuplicate = ({ check, message }: SoakFinding): boolean =>
+      check === 'promise 2' || (check === 'promise 5' && message.includes('ran '));
+    return {
+      rounds: this.rounds,
+      starts: cell.startCount,
+      answers,
+      keys: keyResults.size,
+      jobs: this.outcomes.size,
+      lost: results.filter((result) => result === 'lost' || result === 'unfinished').length,
+      duplicated: findings.filter(isDuplicate).length,
+      oversold,
+      unknown: results.filter((result) => result.includes('unknown')).length,
+      recoveryMs: this.recoveryMs,
+      findings,
+      trace: findings.length > 0 ? cell.latestOutput() : '',
+    };
+  }
+
+  /** Ends the load and all processes. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    for (const load of this.loads) load.abort();
+    await this.cell.stop();
+  }
+
+  private get loads(): readonly RecoveryLoad[] {
+    return [this.directLoad, this.linkedLoad];
+  }
+
+  private async runRound(steps: readonly SoakStep[]): Promise<void> {
+    const { cell } = this;
+    this.faultsEndedAtMs = Number.POSITIVE_INFINITY;
+    for (const load of this.loads) load.start();
+    this.isLoaded = true;
+    await cell.pause(CALM_MS);
+    await this.steps.run(steps);
+    this.faultsEndedAtMs = cell.clock.monotonicMs();
+    const { length } = cell.processAddresses;
+    const ready = () => cell.readyIndexes().length === length;
+    await this.expect(`readiness of all ${length} processes`, ready);
+    const owned = async () => (await cell.owners()).size === PARTITIONS;
+    await this.expect('an owner of each partition', owned);
+    this.recoveryMs = Math.max(
+      this.recoveryMs,
+      Math.round(cell.clock.monotonicMs() - this.faultsEndedAtMs),
+    );
+    await cell.pause(CALM_MS);
+    this.isLoaded = false;
+    await Promise.all(this.loads.map((load) => load.stop()));
+    const jobIds = this.loads.flatMap((load) => [...load.jobIds]);
+    const openIds = jobIds.filter((jobId) => !this.outcomes.has(jobId));
+    const outcomes = await waitForOutcomes(cell, openIds, JOBS_TIMEOUT_MS);
+    for (const [jobId, outcome] of outcomes) this.outcomes.set(jobId, outcome);
+  }
+
+  private async expect(condition: string, check: () => Promise<boolean> | boolean): Promise<void> {
+    try {
+      await this.cell.waitUntil(condition, check, RECOVERY_TIMEOUT_MS);
+    } catch (error) {
+      this.missedConditions.push(String(error));
+    }
+  }
+
+  private observe(): SoakObservation {
+    const { cell, loads, steps } = this;
+    return {
+      history: buildHistory(cell, ...loads),
+      keyResults: new Map(loads.flatMap((load) => [...load.keyResults])),
+      outcomes: this.outcomes,
+      oversold: cell.standIn.history.count('oversold'),
+      exits: cell.exits,
+      endlessStops: steps.endlessStops,
+      publishedDigests: steps.publishedDigests,
+      missedConditions: this.missedConditions,
+    };
+  }
+
+  private listRunning(): readonly number[] {
+    return [...this.cell.processAddresses.keys()].filter(
+      (index) => this.cell.process(index).running,
+    );
+  }
+
+  private async submitJobs(): Promise<void> {
+    while (!this.isStopped) {
+      if (this.isLoaded) for (const load of this.loads) load.submitJobs();
+      await this.cell.pause(JOB_INTERVAL_MS);
+    }
+  }
+
+  private async observeConfigurations(index: number): Promise<void> {
+    while (!this.isStopped) {
+      await this.cell.observeConfiguration(index);
+      await this.cell.pause(CONFIGURATION_INTERVAL_MS);
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/soak/step-runner.ts
@@ -0,0 +1,154 @@
+import { cancelBurst } from '../recovery/cancel-burst.js';
+import { digestText } from '../recovery/digest-text.js';
+import type { RecoveryCell } from '../recovery/recovery-cell.js';
+import { recoveryDeclaration } from '../recovery/recovery-declaration.js';
+import type { RecoveryLoad } from '../recovery/recovery-load.js';
+import type { SoakAction } from './soak-action.js';
+import type { SoakStep } from './soak-step.js';
+
+/** As in the recovery runs: longer than requests in flight and the release of the partitions take. */
+const STOP_TIMEOUT_MS = 30_000;
+
+type ActionOf<Type extends SoakAction['type']> = Extract<SoakAction, { type: Type }>;
+
+/** Carries out the steps of a round at a cell. */
+export class StepRunner {
+  static create(cell: RecoveryCell, load: RecoveryLoad): StepRunner {
+    return new StepRunner(cell, load);
+  }
+
+  /** Planned stops that did not end in time. */
+  readonly endlessStops: string[] = [];
+  /** Digests of the texts whose publication was accepted, as their callers were told. */
+  readonly publishedDigests: string[] = [];
+  /** Incarnations that were sent SIGTERM, so that a further one is no new stop. */
+  private readonly stopping = new Set<string>();
+  private readonly pending = new Set<Promise<void>>();
+  private counter = 0;
+
+  private constructor(
+    private readonly cell: RecoveryCell,
+    private readonly load: RecoveryLoad,
+  ) {}
+
+  /** Carries out the steps at their times; resolves when all have ended and all processes run again. */
+  async run(steps: readonly SoakStep[]): Promise<void> {
+    await Promise.all(steps.map((step) => this.runStep(step)));
+    // Steps of one process overlap, so that one may resume or start it before another ends it.
+    for (const index of this.cell.processAddresses.keys()) {
+      this.cell.process(index).signal('SIGCONT');
+      this.startIfEnded(index);
+    }
+    await Promise.all(this.pending);
+  }
+
+  private async runStep({ startMs, endMs, action }: SoakStep): Promise<void> {
+    await this.cell.pause(startMs);
+    const end = await this.begin(action);
+    await this.cell.pause(endMs - startMs);
+    await end();
+  }
+
+  /** Begins the action and returns the function that ends it. */
+  private async begin(action: SoakAction): Promise<() => Promise<void> | void> {
+    const { cell, load } = this;
+    switch (action.type) {
+      case 'kill':
+        cell.process(action.process).signal('SIGKILL');
+        return () => {
+          this.startIfEnded(action.process);
+        };
+      case 'stop':
+        return this.beginStop(action.process);
+      case 'pause':
+        return this.beginPause(action.process);
+      case 'log':
+        return this.beginLogFault(action);
+      case 'link':
+        return this.beginLinkChange(action);
+      case 'publish':
+        this.track(this.publish(action.processes));
+        return () => undefined;
+      case 'submit-jobs':
+        load.submitJobs();
+        return () => undefined;
+      case 'cancel-jobs':
+        this.counter += 1;
+        this.track(cancelBurst({ cell, load, seed: this.counter }).then(() => undefined));
+        return () => undefined;
+    }
+  }
+
+  private beginStop(index: number): () => void {
+    const process = this.cell.process(index);
+    const { incarnation } = process;
+    if (this.stopping.has(incarnation)) process.signal('SIGTERM');
+    else if (process.running) this.cell.beginStop(index);
+    this.stopping.add(incarnation);
+    return () => {
+      this.track(this.awaitStop(index));
+    };
+  }
+
+  private async awaitStop(index: number): Promise<void> {
+    const process = this.cell.process(index);
+    if (!(await process.waitForExit(STOP_TIMEOUT_MS))) {
+      this.endlessStops.push(process.incarnation);
+      await process.kill();
+    }
+    this.startIfEnded(index);
+  }
+
+  private beginPause(index: number): () => void {
+    const process = this.cell.process(index);
+    process.signal('SIGSTOP');
+    this.cell.losePlatform(index);
+    return () => {
+      process.signal('SIGCONT');
+      this.cell.restorePlatform(index);
+    };
+  }
+
+  private async beginLogFault(action: ActionOf<'log'>): Promise<() => Promise<void>> {
+    const { log } = this.cell.standIn.addresses();
+    const indexes = action.isOutage ? [...this.cell.processAddresses.keys()] : [];
+    await this.cell.setFault(log, action.fault, action.on);
+    for (const index of indexes) this.cell.losePlatform(index);
+    return async () => {
+      await this.cell.setFault(log, action.fault, action.off);
+      for (const index of indexes) this.cell.restorePlatform(index);
+    };
+  }
+
+  private beginLinkChange({ from, to, change }: ActionOf<'link'>): () => void {
+    const removeChange = this.cell.links.find(from, to).disturb(change);
+    const isPlatformCut = to === 'log' && change.type === 'cut' && typeof from === 'number';
+    if (isPlatformCut) this.cell.losePlatform(from);
+    return () => {
+      removeChange();
+      if (isPlatformCut) this.cell.restorePlatform(from);
+    };
+  }
+
+  private async publish(indexes: readonly number[]): Promise<void> {
+    const read = await this.cell.call(indexes[0] ?? 0, 'GET', '/configuration');
+    if (read.type !== 'reply') return;
+    const { revision: baseRevision } = read.body as { revision: number };
+    const published = indexes.map(async (index) => {
+      const text = recoveryDeclaration(`r${++this.counter}`);
+      const body = { baseRevision, text };
+      const answer = await this.cell.call(index, 'POST', '/configuration', body);
+      if (answer.type === 'reply') this.publishedDigests.push(digestText(text));
+    });
+    await Promise.all(published);
+  }
+
+  private startIfEnded(index: number): void {
+    if (!this.cell.process(index).running) this.cell.startProcess(index);
+  }
+
+  private track(work: Promise<void>): void {
+    const tracked = work.finally(() => this.pending.delete(tracked));
+    this.pending.add(tracked);
+  }
+}
--- a/packages/cli/src/run-command-line.ts
+++ b/packages/cli/src/run-command-line.ts
@@ -9,6 +9,7 @@
 import { createDumpCommand } from './commands/dump/index.js';
 import { createEntryCommand } from './commands/entry/index.js';
 import { createQuickstartCommand } from './commands/quickstart/index.js';
+import { createSoakCommand } from './commands/soak/index.js';
 import { createStandInCommand } from './commands/stand-in/index.js';
 import { createStatusCommand } from './commands/status/index.js';
 import { createSubmitCommand } from './commands/submit/index.js';
@@ -33,6 +34,7 @@
       'stand-in': createStandInCommand(io),
       quickstart: createQuickstartCommand(io),
       bench: createBenchCommand(io),
+      soak: createSoakCommand(io),
     },
   });
   const result = await runSafely(app, [...args]);
