Log a flood of unreadable records with one line a minute

Each unreadable record of the cell log or of a keyed topic took one of these lines, so that one odd writer could displace every decision from the log.

Fix: they go through RecordFaultLog, as records that cannot be processed already do: one line a minute, with the number of suppressed ones. Both tests failed before (500 lines each).

--- a/packages/cell-log/src/cell-replica.test.ts
+++ b/packages/cell-log/src/cell-replica.test.ts
@@ -217,3 +217,15 @@
   expect(firstServedAtMs).toBeGreaterThanOrEqual(9_500);
   expect(firstServedAtMs).toBeLessThan(11_500);
 });
+
+// Guards against a flood of unreadable records that displaces all other lines of the log.
+test('the replica logs a flood of unreadable records with one line a minute', async () => {
+  const { replica, answer, events } = create();
+  void replica.run();
+  await flushCallbacks();
+  const records = Array.from({ length: 500 }, () => Buffer.from('unreadable'));
+  await answer({ kind: 'records', end: records.length, first: 0, records, ageMs: 0 });
+  expect(replica.state.nextOffset).toEqual(records.length);
+  expect(events.filter((event) => event === 'record-unreadable').length).toEqual(1);
+  replica.stop();
+});
--- a/packages/cell-log/src/cell-replica.ts
+++ b/packages/cell-log/src/cell-replica.ts
@@ -6,6 +6,7 @@
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import { RecentRecords } from './recent-records.js';
+import { RecordFaultLog } from './record-fault-log.js';
 import type { SnapshotStore } from './snapshot-store.js';
 import { SnapshotWait } from './snapshot-wait.js';
 
@@ -65,6 +66,7 @@
   /** Records that this process appended, by offset, until all records before them are applied. */
   private readonly appended = new Map<number, readonly Uint8Array[]>();
   private readonly recentRecords = RecentRecords.create();
+  private readonly faultLog: RecordFaultLog;
   private waiters: { offset: number; resolve: (isReached: boolean) => void }[] = [];
   private isFollowing = true;
   /** Present after records that the replica needs have expired, until a snapshot has them. */
@@ -73,6 +75,7 @@
   private endPause: () => void = () => undefined;
 
   private constructor(private readonly options: Options) {
+    this.faultLog = RecordFaultLog.create(options);
     this.state = CellState.create(options.retentionMs);
     this.currentAsOf = this.createUnknownInstant();
   }
@@ -311,7 +314,10 @@
     this.recentRecords.add(offset, data);
     const record = recordCodec.decode(data);
     if (record === undefined) {
-      this.options.log('error', 'record-unreadable', { offset, bytes: data.byteLength });
+      this.faultLog.write('unreadable', 'error', 'record-unreadable', {
+        offset,
+        bytes: data.byteLength,
+      });
       this.state.nextOffset += 1;
       return;
     }
@@ -321,8 +327,12 @@
     } catch (error) {
       // Every replica reads the same record; if all stopped at it, the cell would stop.
       this.state.nextOffset = offset + 1;
-      const { log } = this.options;
-      log('error', 'record-not-applied', { offset, kind: record.kind, error: String(error) });
+      const { kind } = record;
+      this.faultLog.write(kind, 'error', 'record-not-applied', {
+        offset,
+        kind,
+        error: String(error),
+      });
     }
   }
 
--- a/packages/cell-log/src/keyed-follower.test.ts
+++ b/packages/cell-log/src/keyed-follower.test.ts
@@ -37,6 +37,7 @@
       decodeKeyed: (data) => {
         const key = Buffer.from(data).toString();
         if (key === 'undecodable') throw new Error('cannot be decoded');
+        if (key === 'unreadable') return undefined;
         return toRecord(key);
       },
     },
@@ -81,3 +82,14 @@
   await advance(70_000);
   expect(lines.filter((line) => line === 'record-not-processed odd').length).toEqual(2);
 });
+
+// Guards against a flood of unreadable records that displaces all other lines of the log.
+test('the keyed follower logs a flood of unreadable records with one line a minute', async () => {
+  const { written, keys, lines, advance } = follow(['a']);
+  await advance(READ_INTERVAL_MS);
+  for (let index = 0; index < 500; index += 1) written.push('unreadable');
+  written.push('b');
+  await advance(2 * READ_INTERVAL_MS);
+  expect(keys).toEqual(['a', 'b']);
+  expect(lines.filter((line) => line.startsWith('record-unreadable')).length).toEqual(1);
+});
--- a/packages/cell-log/src/keyed-follower.ts
+++ b/packages/cell-log/src/keyed-follower.ts
@@ -110,7 +110,10 @@
       this.callSafely(`offset ${from + index}`, () => {
         const record = store.decodeKeyed(data);
         if (record === undefined)
-          this.options.log('warn', 'record-unreadable', { topic, bytes: data.byteLength });
+          this.faultLog.write(`${topic} unreadable`, 'warn', 'record-unreadable', {
+            topic,
+            bytes: data.byteLength,
+          });
         else this.processRecord(record);
       });
     return true;
