End the former incarnation of an emulated worker when it starts again

Cause: two overlapping worker-crash faults restarted w0 twice, 1.7 s apart. The second restart replaced the first incarnation without an end, so that it ran on under an id that another incarnation had. No real worker does that.

The emulator ends the former incarnation.

--- a/packages/cell-emulator/src/cell.test.ts
+++ b/packages/cell-emulator/src/cell.test.ts
@@ -923,6 +923,18 @@
   );
 });
 
+// Guards against an emulated worker that runs on beside its next incarnation, which no real worker does: the checks
+// report tasks that run twice although the cell is right.
+test('a worker that two overlapping faults restart has one incarnation at a time', async () => {
+  const faults: ScheduleFault[] = [
+    { atMs: 8_042, durationMs: 5_996, kind: 'store-refuses', targetIndex: 2 },
+    { atMs: 10, durationMs: 2_346, kind: 'peer-calls-lost', targetIndex: 0 },
+    { atMs: 8_303, durationMs: 5_426, kind: 'worker-crash', targetIndex: 0 },
+    { atMs: 12_000, durationMs: 3_487, kind: 'worker-crash', targetIndex: 0 },
+  ];
+  expect(await runAndPrint(4, faults, startLargeCell)).toEqual([]);
+});
+
 // Guards against the same failures in a large cell, in which most processes hold no replica.
 test('a cell without replicas in most processes keeps its guarantees under random faults', async () => {
   const runs = Number(process.env.CELL_RUNS ?? 6);
--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -155,6 +155,8 @@
 
   /** Starts a worker, or a new incarnation of it, and publishes its entry. */
   addWorker(id: string): EmulatedWorker {
+    // A worker has one incarnation at a time, also when two faults that restart it overlap.
+    this.workers.get(id)?.crash();
     const entry: WorkerEntry = {
       id,
       born: this.clock.wallMs(),
