--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -13,6 +13,7 @@
 import { BegunJobs } from './begun-jobs.js';
 import { callTimeouts } from './call-timeouts.js';
 import { estimateRemainingMs } from './estimate-remaining-ms.js';
+import type { JobExplanation } from './job-explanation.js';
 import { limits } from './limits.js';
 import { Proposals } from './proposals.js';
 import { RunTracker } from './run-tracker.js';
@@ -243,6 +244,11 @@
       this.planLoop.markChanged(taskName.jobOf(record.task));
   }
 
+  /** Explains why a job that has not ended waits; undefined for any other id. */
+  explainJob(id: string): JobExplanation | undefined {
+    return this.planLoop.explainJob(id);
+  }
+
   /** Returns the state of the owner for operators. */
   describe(): Record<string, unknown> {
     return {
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -3,10 +3,13 @@
 import { planCell } from '@acaciahoist/cell-planner';
 import type { PlannedWorker } from '@acaciahoist/cell-planner/planned-worker';
 import type { ReadyStep } from '@acaciahoist/cell-planner/ready-step';
+import type { RoundBudget } from '@acaciahoist/cell-planner/round-budget';
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { computeDemand } from '@acaciahoist/cell-planner/compute-demand';
 import type { AdviceScheduler } from './advice-scheduler.js';
 import { estimateRemainingMs } from './estimate-remaining-ms.js';
+import { explainJob } from './explain-job.js';
+import type { JobExplanation } from './job-explanation.js';
 import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
 import { ReadyStepIndex } from './ready-step-index.js';
@@ -69,16 +72,28 @@
     this.roundDurationMs = clock.monotonicMs() - this.roundStartedAtMs;
   }
 
+  /** Explains why a job that has not ended waits; undefined for any other id. */
+  explainJob(id: string): JobExplanation | undefined {
+    const { clock, state } = this.context;
+    const progress = state.jobs.get(id);
+    if (progress === undefined) return undefined;
+    const nowMs = clock.monotonicMs();
+    return explainJob({
+      progress,
+      context: this.context,
+      readySteps: this.readySteps.list({ wallMs: clock.wallMs(), monotonicMs: nowMs }),
+      listWorkers: () => this.listWorkers(nowMs),
+      budget: this.createBudget(),
+    });
+  }
+
   private planRound(nowMs: number): void {
-    const { clock, proposals, startWindow } = this.context;
+    const { clock, proposals } = this.context;
     // A start that is decided while the store is unavailable would be too old by the time it is recorded.
     if (proposals.oldestStartAgeMs() > limits.staleProposalMs) return;
     const steps = this.readySteps.list({ wallMs: clock.wallMs(), monotonicMs: nowMs });
     if (steps.length === 0) return;
-    const plan = planCell(steps, this.listWorkers(nowMs), nowMs, {
-      ...this.adviceScheduler.countFreeLanes(),
-      starts: startWindow.countAllowed(proposals.countStarts()),
-    });
+    const plan = planCell(steps, this.listWorkers(nowMs), nowMs, this.createBudget());
     const stepsByKey = new Map(steps.map((step) => [step.key, step]));
     this.recordStarts(plan.starts, stepsByKey, nowMs);
     for (const request of plan.adviceRequests) {
@@ -87,6 +102,14 @@
     }
   }
 
+  private createBudget(): RoundBudget {
+    const { proposals, startWindow } = this.context;
+    return {
+      ...this.adviceScheduler.countFreeLanes(),
+      starts: startWindow.countAllowed(proposals.countStarts()),
+    };
+  }
+
   private listWorkers(nowMs: number): PlannedWorker[] {
     const { sessions, runs, proposals, workerHealth } = this.context;
     const workers: PlannedWorker[] = [];
--- /dev/null
+++ b/packages/cell-planner/src/explain-wait.ts
@@ -0,0 +1,95 @@
+import { canRunOn } from './can-run-on.js';
+import type { Capacity } from './capacity.js';
+import { computeDemand } from './compute-demand.js';
+import { countFittingTasks } from './count-fitting-tasks.js';
+import { orderUnderOverload } from './order-under-overload.js';
+import { planCell } from './plan-cell.js';
+import type { PlannedWorker } from './planned-worker.js';
+import type { ReadyStep } from './ready-step.js';
+import type { RoundBudget } from './round-budget.js';
+import type { StepWait } from './step-wait.js';
+import { WaitReason } from './wait-reason.js';
+
+/**
+ * Explains why a step among the ready ones waits: runs one planning round without effects, and counts the
+ * workers that each condition leaves. The round changes `free` of the given workers.
+ */
+export function explainWait(
+  step: ReadyStep,
+  steps: readonly ReadyStep[],
+  workers: readonly PlannedWorker[],
+  nowMs: number,
+  budget: RoundBudget,
+): StepWait {
+  const { advice } = step;
+  const demand = computeDemand(step.step);
+  const ofService = workers.filter((worker) => worker.service === step.queue.service);
+  const runnable = ofService.filter((worker) => canRunOn(step, worker));
+  const startable = runnable.filter((worker) => worker.acceptsStarts);
+  const allowed =
+    advice === undefined ? startable : startable.filter((worker) => advice.allowed.has(worker.id));
+  const hasRoom = (worker: PlannedWorker): boolean => countFittingTasks(worker.free, demand, 1) > 0;
+  const withRoom = allowed.filter(hasRoom);
+  const withRoomBelowLimit = withRoom.filter((worker) => countTasks(step, demand, [worker]) > 0);
+  const withTicket = withRoomBelowLimit.filter(
+    (worker) => advice === undefined || (advice.allowed.get(worker.id) ?? 0) > nowMs,
+  );
+  const neededTasks = step.step.gang ? step.waitingTasks.length : 1;
+  const isLargeEnough = countTasks(step, demand, startable, true) >= neededTasks;
+  const isRoomForGang = countTasks(step, demand, allowed) >= neededTasks;
+  const counts = {
+    demand,
+    waitingTasks: step.waitingTasks.length,
+    stepsAhead: orderUnderOverload(steps, nowMs).findIndex(({ key }) => key === step.key),
+    workers: ofService.length,
+    startableWorkers: startable.length,
+    largeEnoughWorkers: startable.filter((worker) => countFittingTasks(worker.total, demand, 1) > 0)
+      .length,
+    allowedWorkers: allowed.length,
+    workersWithRoom: withRoom.length,
+  };
+  const plan = planCell(steps, workers, nowMs, budget);
+  const fitsInMs = plan.reservations.find(({ key }) => key === step.key)?.fitsInMs;
+  return { reason: chooseReason(), ...counts, fitsInMs };
+
+  function chooseReason(): WaitReason {
+    if (plan.starts.some(({ key }) => key === step.key)) return WaitReason.startsNext;
+    if (ofService.length === 0) return WaitReason.noWorkers;
+    if (!ofService.some(hasLabel)) return WaitReason.noLabel;
+    if (startable.length === 0) return WaitReason.noneAccepts;
+    if (!isLargeEnough) return WaitReason.tooLarge;
+    if (advice !== undefined && allowed.length === 0)
+      return advice.isAnswered && !advice.isOutstanding
+        ? WaitReason.adviceDenied
+        : WaitReason.waitsForAdvice;
+    if (budget.starts <= 0) return WaitReason.startWindowFull;
+    if (step.step.gang && !isRoomForGang) return WaitReason.noRoomForGang;
+    if (withRoom.length === 0) return WaitReason.noRoom;
+    if (withRoomBelowLimit.length === 0) return WaitReason.limitPerWorker;
+    return withTicket.length === 0 ? WaitReason.ticketsExpired : WaitReason.behindOthers;
+  }
+
+  function hasLabel(worker: PlannedWorker): boolean {
+    return step.step.label === '' || worker.labels.includes(step.step.label);
+  }
+}
+
+/** Counts the tasks that fit on the workers, or on those of the best rack if the step needs one rack. */
+function countTasks(
+  step: ReadyStep,
+  demand: Capacity,
+  workers: readonly PlannedWorker[],
+  areIdle = false,
+): number {
+  const maxPerWorker = step.step.maxPerWorker > 0 ? step.step.maxPerWorker : step.step.count;
+  const isOneRack = step.step.gang && step.step.sameRack;
+  const tasksByRack = new Map<string, number>();
+  for (const { id, rack, free, total } of workers) {
+    const tasksThere = areIdle ? 0 : (step.tasksByWorker.get(id) ?? 0);
+    const limit = Math.max(0, maxPerWorker - tasksThere);
+    const tasks = countFittingTasks(areIdle ? total : free, demand, limit);
+    const key = isOneRack ? rack : '';
+    tasksByRack.set(key, (tasksByRack.get(key) ?? 0) + tasks);
+  }
+  return Math.max(0, ...tasksByRack.values());
+}
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -22,6 +22,7 @@
 import { PeerTracker } from './peer-tracker.js';
 import { chooseStandbys } from './choose-standbys.js';
 import { isAdvice } from './is-advice.js';
+import { jobInspection } from './job-inspection.js';
 import { LoopDelayMonitor } from './loop-delay-monitor.js';
 import { CellLogReader } from './cell-log-reader.js';
 import { ownerHint } from './owner-hint.js';
@@ -477,6 +478,26 @@
     };
   }
 
+  /** Returns the state of a job according to the replica of this process, for operators. */
+  describeJob(id: string): ReturnType<typeof jobInspection.describe> {
+    return jobInspection.describe(id, this.createInspectionOptions());
+  }
+
+  /** Explains to operators why a job waits. Only the owner can. */
+  explainJob(id: string): ReturnType<typeof jobInspection.explain> {
+    return jobInspection.explain(id, this.createInspectionOptions());
+  }
+
+  private createInspectionOptions(): Parameters<typeof jobInspection.explain>[1] {
+    const { term } = this;
+    return {
+      state: () => (this.isHoldingReplica ? this.replica.state : undefined),
+      replicaAgeMs: () => this.replica.ageMs(),
+      findOwner: () => this.replica.state.claim,
+      explain: term === undefined ? undefined : (jobId) => term.explainJob(jobId),
+    };
+  }
+
   private observeRecord(record: CellRecord, isEffective: boolean): void {
     if (record.kind === 'job') this.front.observeJob(record.job.id);
     this.ownership.observe(record, isEffective);
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -4,6 +4,7 @@
 import type { CellReplica } from '@acaciahoist/cell-log';
 import type { SnapshotStore } from '@acaciahoist/cell-log/snapshot-store';
 import { CellOwner } from '@acaciahoist/cell-owner';
+import type { JobExplanation } from '@acaciahoist/cell-owner/job-explanation';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import type { LogStore } from '@acaciahoist/cell-types/log-store';
@@ -149,6 +150,11 @@
     return this.writer.appendForClient(data);
   }
 
+  /** Explains why a job that has not ended waits; undefined for any other id. */
+  explainJob(id: string): JobExplanation | undefined {
+    return this.owner.explainJob(id);
+  }
+
   /** Returns the state of the owner for operators. */
   describe(): Record<string, unknown> {
     return this.owner.describe();
--- a/packages/cli/src/commands/dump/index.ts
+++ b/packages/cli/src/commands/dump/index.ts
@@ -7,7 +7,8 @@
 export function createDumpCommand(io: CommandIo) {
   return command({
     name: 'dump',
-    description: 'Prints the state of an entry process as JSON, or the declaration in force.',
+    description:
+      'Prints the state of a process as JSON, or the declaration in force of an entry process.',
     examples: [
       { description: 'State for a fault report', command: 'acaciahoist dump > state.json' },
       {
--- a/packages/cli/src/commands/status/index.ts
+++ b/packages/cli/src/commands/status/index.ts
@@ -19,6 +19,10 @@
         description: 'Every change until the job has ended',
         command: 'acaciahoist status --watch north-1.0:17',
       },
+      {
+        description: 'Reason why a job waits, from the owner of a cell in the platform role',
+        command: 'acaciahoist status --why --server http://127.0.0.1:7203 fee5ffe9e4b8c8b1',
+      },
       {
         description: 'Reason why the job waits or why it runs on its workers',
         command: 'acaciahoist status --why north-1.0:17',
--- a/packages/cli/src/docs.test.ts
+++ b/packages/cli/src/docs.test.ts
@@ -4,6 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { expect } from 'earl';
 import { answers } from '@acaciahoist/errors/answers';
+import { WaitReason } from '@acaciahoist/cell-planner/wait-reason';
 import type { CommandIo } from './command-io.js';
 import { checkFile } from './commands/check/check-file.js';
 import { runCommandLine } from './run-command-line.js';
@@ -87,6 +88,15 @@
   );
 });
 
+test('the program accepts the command lines of docs/OPERATIONS.md, which names every reason why a step waits', async () => {
+  // Guards against an operator who meets an option or a reason that the page does not have.
+  const text = readRepositoryFile('docs/OPERATIONS.md');
+  const lines = listCommandLines(text);
+  expect(lines.length).toBeGreaterThan(2);
+  for (const line of lines) expect(await runWithoutServer(line)).toMatchRegex(ACCEPTED_ARGUMENTS);
+  for (const reason of Object.values(WaitReason)) expect(text).toInclude(`\`${reason}\``);
+});
+
 test('the program prints the explanations of jobs that docs/OPERATIONS.md shows', async () => {
   // Guards against examples in the page that no longer match the output of the program.
   const fixture = join(root, 'packages/cli/src/commands/explain/fixtures/store-outage.txt');
--- a/packages/cli/src/server-options.ts
+++ b/packages/cli/src/server-options.ts
@@ -27,7 +27,8 @@
     type: optional(serverUrlType),
     long: 'server',
     env: 'ACACIAHOIST_SERVER',
-    description: 'address at which an entry process serves callers',
+    description:
+      'address at which an entry process serves callers, or inspection address of a process in the platform role',
   }),
   token: option({
     type: optional(bearerTokenType),
