Count the lifetime of keys by the owners' monotonic clocks

In the same way ended jobs, delegated job keys (a second job) and the sequence numbers of request counts (counted twice) were removed early.

Cause: pruning compared the wall time of any entry with that of the outcome.

A commit now states how long its owner has owned the partition, in ms on its monotonic clock since its claim was valid (termMs). The sum over all terms is the time of the partition, which never advances faster than true time: a predecessor appends nothing valid after the claim of its successor. Jobs, keys, delegated keys and counts keep the time of the partition at their end (keptSinceMs) and are removed by it; wall times serve accounts and reports only.

--- a/packages/group-commit/src/group-commit.test.ts
+++ b/packages/group-commit/src/group-commit.test.ts
@@ -1,4 +1,5 @@
 import { test } from 'node:test';
+import { setImmediate } from 'node:timers/promises';
 import { expect } from 'earl';
 import { ManualClock } from '@acaciahoist/clock/manual-clock';
 import { Journal } from '@acaciahoist/journal';
@@ -129,6 +130,25 @@
   expect(listBatchSizes(log).filter((entries) => entries === 1).length).toEqual(1);
 });
 
+test('the group commit states in each commit the time of its term on the monotonic clock, rounded down', async () => {
+  // Guards against keys that expire early: by a wall clock that jumps, or by a term that counts from before the
+  // claim.
+  const { clock, log, commit, group } = createGroupCommit();
+  clock.advance(1_000.75);
+  clock.jumpWall(86_400_000);
+  commit(createEntry('a'));
+  await setImmediate();
+  await advance(clock, 100);
+  clock.advance(500);
+  group.requestRenewal();
+  await setImmediate();
+  await advance(clock, 100);
+  const records = log.records.slice(1).map(({ data }) => decodeRecord(data).unwrapOr(undefined));
+  expect(records.map((record) => record?.type === 'commit' && record.termMs)).toEqual([
+    1_000, 1_600,
+  ]);
+});
+
 test('the appender repeats an append without a reply only after a read did not find the record', async () => {
   // Guards against a repetition without a read before it, which could append the entries twice, and against
   // a result that is reported before it is certain.
--- a/packages/group-commit/src/group-commit.ts
+++ b/packages/group-commit/src/group-commit.ts
@@ -38,6 +38,8 @@
   private readonly backOff = BackOff.create(APPEND_RETRY_MS.first, APPEND_RETRY_MS.max);
   /** Sequence number of the last record that was sent. */
   private lastSequence: number;
+  /** Monotonic time from which the term counts. The claim is valid by now, so terms do not overlap. */
+  private readonly termStartMs: number;
   private lastAppendAtMs = -Infinity;
   private inFlightCalls: readonly QueuedCall[] = [];
   private needsRenewal = false;
@@ -54,6 +56,7 @@
     this.queue = EntryQueue.create(options.maxWaitingEntries, options.maxWaitingBytes);
     this.appender = RecordAppender.create(options);
     this.lastSequence = options.journal.sequence();
+    this.termStartMs = options.clock.monotonicMs();
   }
 
   /**
@@ -218,7 +221,13 @@
     this.inFlightCalls = calls;
     const entries = calls.flatMap((call) => call.entries);
     return {
-      build: (sequence) => ({ type: 'commit', token: this.options.token, sequence, entries }),
+      build: (sequence) => ({
+        type: 'commit',
+        token: this.options.token,
+        sequence,
+        termMs: this.countTermMs(),
+        entries,
+      }),
       isRequired: calls.length > 0,
       settle: (outcome) => {
         this.inFlightCalls = [];
@@ -232,6 +241,11 @@
     };
   }
 
+  /** Monotonic time does not count suspensions, so the term is never longer than it was. */
+  private countTermMs(): number {
+    return Math.floor(this.options.clock.monotonicMs() - this.termStartMs);
+  }
+
   private createReleaseItem(): AppendItem {
     return {
       build: (sequence) => ({ type: 'release', token: this.options.token, sequence }),
--- a/packages/journal/src/apply-entry.ts
+++ b/packages/journal/src/apply-entry.ts
@@ -20,7 +20,8 @@
   if (entry.sequence <= (state.counted.get(incarnationKey)?.sequence ?? -1)) return false;
   // Deleting the item first moves it to the end: pruning needs the items in order of time.
   state.counted.delete(incarnationKey);
-  state.counted.set(incarnationKey, { sequence: entry.sequence, atMs: entry.atMs });
+  const { sequence, atMs } = entry;
+  state.counted.set(incarnationKey, { sequence, atMs, keptSinceMs: state.elapsedMs });
   for (const { user, team, outcome, count, waitMs } of entry.rows) {
     const row = { user, team, outcome, count, waitMs: Math.round(waitMs) };
     countOutcome(state, policy, entry.atMs, { ...row, millicoreMs: 0n, mibMs: 0n });
@@ -52,5 +53,5 @@
  */
 export function applyEntry(state: JournalState, policy: JournalPolicy, entry: JournalEntry): void {
   if (!dispatchEntry(state, policy, entry)) state.ignoredEntries += 1;
-  pruneState(state, entry.atMs);
+  pruneState(state);
 }
--- a/packages/journal/src/apply-job-entry.ts
+++ b/packages/journal/src/apply-job-entry.ts
@@ -172,6 +172,7 @@
   job.outcome = entry.outcome;
   job.reason = entry.reason;
   job.endedAtMs = entry.atMs;
+  job.keptSinceMs = state.elapsedMs;
   for (const task of job.tasks.values())
     if (task.state === 'armed') state.armed.delete(task.taskId);
   trimEndedTasks(state, job, JournalLimits.tasksPerEndedJob);
--- a/packages/journal/src/apply-key-entry.ts
+++ b/packages/journal/src/apply-key-entry.ts
@@ -57,6 +57,7 @@
   if (journalKey?.outcome !== null) return false;
   journalKey.outcome = entry.outcome;
   journalKey.doneAtMs = entry.atMs;
+  journalKey.keptSinceMs = state.elapsedMs;
   journalKey.reply = entry.reply === null ? null : storeBody(state, entry.key, entry.reply);
   state.doneKeys.add(entry.key);
   const { user, team } = journalKey;
@@ -73,7 +74,8 @@
 function delegateJobKey(state: JournalState, entry: Entry<'job-key-delegated'>): boolean {
   const { key, specDigest, partition, atMs } = entry;
   if (state.jobKeys.has(key) || state.delegatedJobKeys.has(key)) return false;
-  state.delegatedJobKeys.set(key, { key, specDigest, partition, atMs });
+  const keptSinceMs = state.elapsedMs;
+  state.delegatedJobKeys.set(key, { key, specDigest, partition, atMs, keptSinceMs });
   return true;
 }
 
--- a/packages/journal/src/create-state.ts
+++ b/packages/journal/src/create-state.ts
@@ -13,6 +13,8 @@
     openPeriod: '',
     closedPeriods: [],
     counted: new Map(),
+    elapsedMs: 0,
+    termStartMs: 0,
     nextJobNumber: 1,
     endedJobs: new Set(),
     endedKeyedJobs: new Set(),
--- a/packages/journal/src/delegated-job-key.ts
+++ b/packages/journal/src/delegated-job-key.ts
@@ -9,4 +9,6 @@
   partition: PartitionId;
   /** Time of the delegation, wall-clock ms. */
   atMs: number;
+  /** Time of the partition at the delegation. Absent, and 0, in a snapshot of an earlier version. */
+  keptSinceMs?: number;
 }
--- a/packages/journal/src/journal-job.ts
+++ b/packages/journal/src/journal-job.ts
@@ -4,7 +4,7 @@
 import type { TaskOutcome } from '@acaciahoist/types/task-outcome';
 import type { JournalTask } from './journal-task.js';
 
-/** State of one job in the journal. Times are wall-clock ms. */
+/** State of one job in the journal. Times are wall-clock ms unless stated otherwise. */
 export interface JournalJob {
   jobId: string;
   spec: JobSpec;
@@ -15,6 +15,11 @@
   /** Start of the first task. */
   startedAtMs: number | null;
   endedAtMs: number | null;
+  /**
+   * Time of the partition at the end of the job. Absent before, and for an end from a snapshot of an earlier
+   * version, where it counts as 0.
+   */
+  keptSinceMs?: number;
   /** Time of the cancel request. */
   cancelAtMs: number | null;
   /** Tasks by id, in order of assignment. Only the last of the ended tasks are kept. */
--- a/packages/journal/src/journal-state.ts
+++ b/packages/journal/src/journal-state.ts
@@ -24,10 +24,18 @@
   openPeriod: string;
   closedPeriods: ClosedPeriod[];
   /**
-   * Sequence number and time of the last applied request count by process incarnation, in order of
+   * Sequence number and times of the last applied request count by process incarnation, in order of
    * time.
    */
-  counted: Map<string, { sequence: number; atMs: number }>;
+  counted: Map<string, { sequence: number; atMs: number; keptSinceMs?: number }>;
+  /**
+   * Time of the partition: the sum of the times that its owners have counted in their terms. It never
+   * advances faster than true time, whatever the wall clocks show. The time for which items are kept
+   * counts in it, from the `keptSinceMs` of the item.
+   */
+  elapsedMs: number;
+  /** Time of the partition at the last valid claim. */
+  termStartMs: number;
   /** Number of the next job of the partition. */
   nextJobNumber: number;
   /** Ended jobs without an idempotency key, in order of their end. */
--- a/packages/journal/src/journal.test.ts
+++ b/packages/journal/src/journal.test.ts
@@ -24,6 +24,16 @@
   return { type: 'commit', token, sequence, entries };
 }
 
+/** Creates a commit of an owner that has counted `termMs` in its term. */
+function createTimedCommit(
+  token: number,
+  sequence: number,
+  termMs: number,
+  ...entries: JournalEntry[]
+): JournalRecord {
+  return { type: 'commit', token, sequence, termMs, entries };
+}
+
 function encodeLog(records: readonly JournalRecord[]): LogRecord[] {
   return records.map((record, offset) => ({
     offset,
@@ -183,23 +193,39 @@
     minLength: 4,
     maxLength: 20,
   });
-  const property = fc.property(batches, fc.nat(), fc.nat(), (entryBatches, position, delay) => {
+  // Times between two commits; a commit of an earlier version states no time.
+  const termTimes = fc.array(fc.option(fc.nat(DAY_MS), { nil: undefined }), { minLength: 20 });
+  const arbitraries = [batches, fc.nat(), fc.nat(), termTimes] as const;
+  const property = fc.property(...arbitraries, (entryBatches, position, delay, times) => {
     const writer = Journal.create('a.0');
-    const records: JournalRecord[] = [createClaim('a', -1)];
+    // An earlier term, so that the time of the partition does not start with the current one.
+    const records: JournalRecord[] = [
+      createClaim('a', -1),
+      createTimedCommit(0, 1, 5 * HOUR_MS),
+      createClaim('b', 1),
+    ];
+    for (const record of encodeLog(records).slice(0, -1)) writer.apply(record);
+    const token = records.length - 1;
     const snapshotIndex = 1 + (position % entryBatches.length);
     let snapshot: JournalRecord | undefined;
+    let termMs = 0;
     entryBatches.forEach((entries, index) => {
       const [record] = encodeLog(records).slice(-1);
       if (record) writer.apply(record);
       // The snapshot is appended up to three records after it is built; its sequence number is stale.
       if (index === snapshotIndex) {
-        const encoded = encodeRecord(writer.snapshot(0, index)).unwrapOr(new Uint8Array());
+        const encoded = encodeRecord(writer.snapshot(token, index)).unwrapOr(new Uint8Array());
         snapshot = decodeRecord(encoded).unwrapOr(createClaim('none', -1));
       }
       if (index === snapshotIndex + (delay % 4) && snapshot) records.push(snapshot);
       if (index === snapshotIndex + (delay % 4))
         for (const lateRecord of encodeLog(records).slice(-2)) writer.apply(lateRecord);
-      records.push(createCommit(0, index + 1, ...entries));
+      termMs += times[index] ?? 0;
+      records.push(
+        times[index] === undefined
+          ? createCommit(token, index + 1, ...entries)
+          : createTimedCommit(token, index + 1, termMs, ...entries),
+      );
     });
     const encodedRecords = encodeLog(records);
     const fullReplay = replay(records).journal;
@@ -291,9 +317,10 @@
       createJobEnded(job, atMs),
     ];
     apply(
-      createCommit(
+      createTimedCommit(
         0,
         job + 1,
+        atMs,
         ...entries,
         createKeyClaimed(key, atMs),
         createKeyDone(key, atMs, 4_096),
@@ -314,6 +341,52 @@
   expect(encoded.isOk).toEqual(true);
 });
 
+/**
+ * Records of the version before the time of the partition: a claim, a commit with a job, a key, a delegated key
+ * and a request count that ended at the wall time of one day, a snapshot after it, and a commit with another key.
+ */
+const earlierRecords = [
+  [
+    '3gADpHR5cGWlY2xhaW2maG9sZGVy3gADp3Byb2Nlc3OhYatpbmNhcm5hdGlvbqExqmRhdGFDZW50cmWhYahyZXBs',
+    'YWNlc/8=',
+  ],
+  [
+    '3gAEpHR5cGWmY29tbWl0pXRva2VuAKhzZXF1ZW5jZQGnZW50cmllc5beAASkdHlwZaxqb2ItYWNjZXB0ZWSlam9i',
+    'SWSlYS4wOjGkc3BlY94ACKZmYW1pbHmhZqR1c2VyoXWkdGVhbaF0pGtpbmSlYmF0Y2imZ3JvdXBzkd4AA6RuYW1l',
+    'oWelY291bnQBqXJlc291cmNlc94AA6ptaWxsaWNvcmVzzQfQqW1lbW9yeU1pYs0CAKxhY2NlbGVyYXRvcnPeAACm',
+    'dXJnZW50wqpyZXBlYXRhYmxlwqNrZXmiamukYXRNc84FJlwA3gAFpHR5cGWpam9iLWVuZGVkpWpvYklkpWEuMDox',
+    'p291dGNvbWWpY29tcGxldGVkpnJlYXNvbqCkYXRNc84FJlwA3gAHpHR5cGWra2V5LWNsYWltZWSja2V5omsxrXJl',
+    'cXVlc3REaWdlc3ShZKdzZXJ2aWNloXOkdXNlcqF1pHRlYW2hdKRhdE1zzgUmXADeAAWkdHlwZahrZXktZG9uZaNr',
+    'ZXmiazGnb3V0Y29tZaljb21wbGV0ZWSlcmVwbHnApGF0TXPOBSZcAN4ABaR0eXBlsWpvYi1rZXktZGVsZWdhdGVk',
+    'o2tleaJka6pzcGVjRGlnZXN0oWSpcGFydGl0aW9uo3AuMaRhdE1zzgUmXADeAAakdHlwZbByZXF1ZXN0cy1jb3Vu',
+    'dGVkp3Byb2Nlc3OhcKtpbmNhcm5hdGlvbqExqHNlcXVlbmNlA6Ryb3dzkKRhdE1zzgUmXAA=',
+  ],
+  [
+    '3gAFpHR5cGWoc25hcHNob3SldG9rZW4AqHNlcXVlbmNlAqRhc09mAaVzdGF0Zd4AAqhwb3NpdGlvbt4ABaV0b2tl',
+    'bgCoc2VxdWVuY2UBr2xhc3RPd25lclJlY29yZAGmZm9ybWVykKZob2xkZXLeAAOncHJvY2Vzc6Fhq2luY2FybmF0',
+    'aW9uoTGqZGF0YUNlbnRyZaFhpXN0YXRl3gAQp3ZlcnNpb24BpGpvYnOR3gAPpWpvYklkpWEuMDoxpHNwZWPeAAim',
+    'ZmFtaWx5oWakdXNlcqF1pHRlYW2hdKRraW5kpWJhdGNopmdyb3Vwc5HeAAOkbmFtZaFnpWNvdW50AalyZXNvdXJj',
+    'ZXPeAAOqbWlsbGljb3Jlc80H0KltZW1vcnlNaWLNAgCsYWNjZWxlcmF0b3Jz3gAApnVyZ2VudMKqcmVwZWF0YWJs',
+    'ZcKja2V5omprpXN0YXRlpWVuZGVkp291dGNvbWWpY29tcGxldGVkpnJlYXNvbqCsYWNjZXB0ZWRBdE1zzgUmXACr',
+    'c3RhcnRlZEF0TXPAqWVuZGVkQXRNc84FJlwAqmNhbmNlbEF0TXPApXRhc2tzkKplbmRlZFRhc2tzkKVlbmRlZJHe',
+    'AAapY29tcGxldGVkAKZmYWlsZWQAp3JlZnVzZWQAp3N0b3BwZWQArGNoZWNrcG9pbnRlZACmbGFwc2VkAKdydW5u',
+    'aW5nAKttaWxsaWNvcmVNc9MAAAAAAAAAAKVtaWJNc9MAAAAAAAAAALBkZWxlZ2F0ZWRKb2JLZXlzkd4ABKNrZXmi',
+    'ZGuqc3BlY0RpZ2VzdKFkqXBhcnRpdGlvbqNwLjGkYXRNc84FJlwApGtleXOR3gAJo2tleaJrMa1yZXF1ZXN0RGln',
+    'ZXN0oWSnc2VydmljZaFzpHVzZXKhdaR0ZWFtoXSrY2xhaW1lZEF0TXPOBSZcAKdvdXRjb21lqWNvbXBsZXRlZKVy',
+    'ZXBsecCoZG9uZUF0TXPOBSZcAKVhcm1lZJCrb3BlblBlcmlvZHORkqoxOTcwLTAxLTAykZK1WyJ1IiwidCIsImNv',
+    'bXBsZXRlZCJd3gAHpHVzZXKhdaR0ZWFtoXSnb3V0Y29tZaljb21wbGV0ZWSlY291bnQCpndhaXRNcwCrbWlsbGlj',
+    'b3JlTXPTAAAAAAAAAAClbWliTXPTAAAAAAAAAACqb3BlblBlcmlvZKoxOTcwLTAxLTAyrWNsb3NlZFBlcmlvZHOQ',
+    'p2NvdW50ZWSRkqNwIDHeAAKoc2VxdWVuY2UDpGF0TXPOBSZcAK1uZXh0Sm9iTnVtYmVyAqllbmRlZEpvYnOQrmVu',
+    'ZGVkS2V5ZWRKb2JzkaVhLjA6Mahkb25lS2V5c5GiazGsa2V5c1dpdGhCb2R5kKlib2R5Qnl0ZXMArmlnbm9yZWRF',
+    'bnRyaWVzAA==',
+  ],
+  [
+    '3gAEpHR5cGWmY29tbWl0pXRva2VuAKhzZXF1ZW5jZQOnZW50cmllc5LeAAekdHlwZatrZXktY2xhaW1lZKNrZXmi',
+    'azKtcmVxdWVzdERpZ2VzdKFkp3NlcnZpY2Whc6R1c2VyoXWkdGVhbaF0pGF0TXPOBV1KgN4ABaR0eXBlqGtleS1k',
+    'b25lo2tleaJrMqdvdXRjb21lqWNvbXBsZXRlZKVyZXBsecCkYXRNc84FXUqA',
+  ],
+].map((parts) => new Uint8Array(Buffer.from(parts.join(''), 'base64')));
+
 test('the journal keeps a key for its lifetime when the wall clock of one process is days ahead', () => {
   // Guards against a second execution of a request: the counts of any process carry its wall time, and one entry
   // with a time far ahead removes keys whose lifetime has not passed.
@@ -332,3 +405,142 @@
   ]);
   expect(journal.state().keys.get('k')?.outcome).toEqual('completed');
 });
+
+test('the journal keeps jobs, delegated keys and request counts when the wall clock of one process is days ahead', () => {
+  // Guards against an ended job that is not found any more, a second job with a key that was delegated, and
+  // requests that are counted twice, after one entry with a time far ahead.
+  const counts = { type: 'requests-counted', process: 'b', incarnation: '1', rows: [] } as const;
+  const { journal } = replay([
+    createClaim('a', -1),
+    createCommit(0, 1, createJobAccepted(1, DAY_MS, 'j'), createJobEnded(1, DAY_MS)),
+    createCommit(0, 2, createJobAccepted(2, DAY_MS), createJobEnded(2, DAY_MS)),
+    createCommit(0, 3, {
+      type: 'job-key-delegated',
+      key: 'd',
+      specDigest: 'd',
+      partition: 'p.1',
+      atMs: DAY_MS,
+    }),
+    createCommit(0, 4, { ...counts, sequence: 1, atMs: DAY_MS }),
+    createCommit(0, 5, createKeyClaimed('k', 40 * DAY_MS)),
+    createCommit(0, 6, { ...counts, incarnation: '2', sequence: 1, atMs: DAY_MS }),
+  ]);
+  const { jobs, delegatedJobKeys, counted } = journal.state();
+  expect([[...jobs.keys()], [...delegatedJobKeys.keys()], [...counted.keys()]]).toEqual([
+    ['a.0:1', 'a.0:2'],
+    ['d'],
+    ['b 1', 'b 2'],
+  ]);
+});
+
+test('the journal removes a key when the terms of its owners since the outcome add up to its lifetime', () => {
+  // Guards against a lifetime that restarts with each owner, that counts the time between two terms, or that a
+  // record with an odd time shortens.
+  const { journal } = replay([
+    createClaim('a', -1),
+    createTimedCommit(0, 1, 10 * DAY_MS, createKeyClaimed('k', DAY_MS), createKeyDone('k', DAY_MS)),
+    createTimedCommit(0, 2, 10 * DAY_MS + 20 * HOUR_MS, createKeyClaimed('k1', DAY_MS)),
+    createClaim('b', 2),
+    createTimedCommit(3, 1, 4 * HOUR_MS - 1, createKeyClaimed('k2', 90 * DAY_MS)),
+    createTimedCommit(3, 2, Number.NaN, createKeyClaimed('k3', DAY_MS)),
+    createTimedCommit(3, 3, -90 * DAY_MS, createKeyClaimed('k4', DAY_MS)),
+    createTimedCommit(3, 4, 1.5, createKeyClaimed('k5', DAY_MS)),
+  ]);
+  expect([...journal.state().keys.keys()]).toEqual(['k', 'k1', 'k2', 'k3', 'k4', 'k5']);
+  const [record] = encodeLog([createTimedCommit(3, 5, 4 * HOUR_MS, createKeyClaimed('k6', 1))]);
+  journal.apply({ offset: 8, data: record?.data ?? new Uint8Array() });
+  expect([...journal.state().keys.keys()]).toEqual(['k1', 'k2', 'k3', 'k4', 'k5', 'k6']);
+});
+
+/** Applies commits of a new owner, whose claim has the given offset, until its term has lasted a day. */
+function applyDay(journal: Journal, claimOffset: number): string[][] {
+  const records = [
+    createClaim('b', claimOffset - 1),
+    createTimedCommit(claimOffset, 1, DAY_MS - 1, createKeyClaimed('k3', 30 * DAY_MS)),
+    createTimedCommit(claimOffset, 2, DAY_MS, createKeyClaimed('k4', 30 * DAY_MS)),
+  ];
+  return records.map((record, index) => {
+    const [encoded] = encodeLog([record]);
+    journal.apply({ offset: claimOffset + index, data: encoded?.data ?? new Uint8Array() });
+    const { jobs, keys, delegatedJobKeys, counted } = journal.state();
+    return [jobs, keys, delegatedJobKeys, counted].flatMap((items) => [...items.keys()]);
+  });
+}
+
+const keptItems = [
+  ['a.0:1', 'k1', 'k2', 'dk', 'p 1'],
+  ['a.0:1', 'k1', 'k2', 'k3', 'dk', 'p 1'],
+  ['k3', 'k4', 'dk'],
+];
+
+test('the journal keeps the items of records and snapshots of an earlier version for their lifetime from its next owner', () => {
+  // Guards against records of a running earlier version that a later one cannot read, and against items that are
+  // removed early because such a record states no time of the partition.
+  for (const firstRetained of [0, 2]) {
+    const journal = Journal.create('a.0');
+    const records = earlierRecords.map((data, offset) => ({ offset, data }));
+    for (let reads = 0; reads < 2; reads += 1) {
+      const from = Math.max(firstRetained, journal.nextOffset());
+      journal.applyPage({ firstRetained, end: records.length, records: records.slice(from) });
+    }
+    expect([journal.hasState(), journal.malformedRecords()]).toEqual([true, 0]);
+    expect(applyDay(journal, records.length)).toEqual(keptItems);
+  }
+});
+
+test('the journal restarts the lifetimes when an earlier version has written a snapshot after reading a newer one', () => {
+  // Guards against ages that refer to a time of the partition which the snapshot does not contain.
+  const writer = Journal.create('a.0');
+  const data = (record: JournalRecord) => encodeLog([record])[0]?.data ?? new Uint8Array();
+  earlierRecords.forEach((record, offset) => writer.apply({ offset, data: record }));
+  writer.apply({ offset: 4, data: data(createTimedCommit(0, 4, 23 * HOUR_MS)) });
+  const delegated = { type: 'job-key-delegated', specDigest: 'd', partition: 'p.1' } as const;
+  const entries = [createKeyDone('k', DAY_MS), { ...delegated, key: 'dk2', atMs: DAY_MS }];
+  const commit = createTimedCommit(0, 5, 23 * HOUR_MS, createKeyClaimed('k', DAY_MS), ...entries);
+  writer.apply({ offset: 5, data: data(commit) });
+  const snapshot = writer.snapshot(0, 6) as JournalRecord & {
+    type: 'snapshot';
+    state: { state: Record<string, unknown> };
+  };
+  // An earlier version keeps the objects of the items as it read them, and writes only the fields of the state
+  // that it knows.
+  delete snapshot.state.state.elapsedMs;
+  delete snapshot.state.state.termStartMs;
+  const reader = Journal.create('a.0');
+  const records = [{ offset: 6, data: data(snapshot) }];
+  reader.applyPage({ firstRetained: 6, end: 7, records });
+  expect([reader.hasState(), reader.nextOffset()]).toEqual([true, 6]);
+  reader.applyPage({ firstRetained: 6, end: 7, records });
+  expect(applyDay(reader, 7)).toEqual([
+    ['a.0:1', 'k1', 'k2', 'k', 'dk', 'dk2', 'p 1'],
+    ['a.0:1', 'k1', 'k2', 'k', 'k3', 'dk', 'dk2', 'p 1'],
+    ['k3', 'k4', 'dk', 'dk2'],
+  ]);
+});
+
+test('the journal writes all fields that an earlier version requires in a commit and in a snapshot', () => {
+  // Guards against a running earlier version that rejects the records of a later owner and takes it for dead.
+  const journal = Journal.create('a.0');
+  const encoded = encodeLog([
+    createClaim('a', -1),
+    createTimedCommit(0, 1, 5, createKeyClaimed('k', DAY_MS), createKeyDone('k', DAY_MS)),
+  ]);
+  for (const record of encoded) journal.apply(record);
+  const snapshot = encodeRecord(journal.snapshot(0, 2)).unwrapOr(new Uint8Array());
+  expect(packer.unpack(encoded[1]?.data ?? new Uint8Array())).toLooseEqual({
+    type: 'commit',
+    token: 0,
+    sequence: 1,
+    termMs: 5,
+    entries: [createKeyClaimed('k', DAY_MS), createKeyDone('k', DAY_MS)],
+  });
+  const { state } = packer.unpack(snapshot) as { state: { state: Record<string, unknown> } };
+  const required = [
+    ...['version', 'jobs', 'keys', 'armed', 'openPeriods', 'openPeriod', 'closedPeriods'],
+    ...['counted', 'nextJobNumber', 'endedJobs', 'endedKeyedJobs', 'doneKeys', 'keysWithBody'],
+    ...['bodyBytes', 'ignoredEntries'],
+  ];
+  expect(required.filter((name) => state.state[name] === undefined)).toEqual([]);
+  expect(state.state.version).toEqual(1);
+  expect((state.state.keys as { doneAtMs: number }[])[0]?.doneAtMs).toEqual(DAY_MS);
+});
--- a/packages/journal/src/journal.ts
+++ b/packages/journal/src/journal.ts
@@ -187,6 +187,7 @@
     if (record.replaces < lastOwnerRecord || record.replaces >= offset) {
       return { type: 'ignored', reason: 'stale-claim' };
     }
+    this.currentState.termStartMs = this.currentState.elapsedMs;
     this.ownership = {
       holder: record.holder,
       token: offset,
@@ -229,7 +230,18 @@
     return { type: 'applied', record };
   }
 
+  /**
+   * Advances the time of the partition to the time that the owner has counted in its term. A record of an
+   * earlier version, or with an odd value, advances nothing: items are kept longer, never shorter.
+   */
+  private advanceTime(termMs: number | undefined): void {
+    if (termMs === undefined || !Number.isSafeInteger(termMs)) return;
+    const state = this.currentState;
+    state.elapsedMs = Math.max(state.elapsedMs, state.termStartMs + termMs);
+  }
+
   private applyEntries(record: JournalRecord & { type: 'commit' }): void {
+    this.advanceTime(record.termMs);
     this.entryCount += record.entries.length;
     for (const entry of record.entries) applyEntry(this.currentState, this.policy, entry);
   }
--- a/packages/journal/src/prune-state.ts
+++ b/packages/journal/src/prune-state.ts
@@ -11,6 +11,11 @@
   }
 }
 
+/** Returns the time of the partition since the item was finished. */
+function findAgeMs(state: JournalState, item: { keptSinceMs?: number } | undefined): number {
+  return state.elapsedMs - (item?.keptSinceMs ?? 0);
+}
+
 function dropJob(state: JournalState, jobId: string, endedJobs: Set<string>): boolean {
   const job = state.jobs.get(jobId);
   endedJobs.delete(jobId);
@@ -21,34 +26,34 @@
   return true;
 }
 
-function pruneJobs(state: JournalState, endedJobs: Set<string>, maxCount: number, atMs: number): void {
+function pruneJobs(state: JournalState, endedJobs: Set<string>, maxCount: number): void {
   pruneOldest(endedJobs, (jobId) => {
-    const endedAtMs = state.jobs.get(jobId)?.endedAtMs ?? 0;
-    if (atMs - endedAtMs < JournalLimits.endedJobLifetimeMs && endedJobs.size <= maxCount) return false;
+    const ageMs = findAgeMs(state, state.jobs.get(jobId));
+    if (ageMs < JournalLimits.endedJobLifetimeMs && endedJobs.size <= maxCount) return false;
     return dropJob(state, jobId, endedJobs);
   });
 }
 
 /**
  * Removes ended jobs, keys, delegated job keys and request counts that are too old or exceed their
- * largest number. `atMs` is the time of the entry being applied, so that every reader removes the
- * same items.
+ * largest number. Ages are times of the partition: a wall clock that is ahead would remove items early,
+ * and the records alone make every reader remove the same items.
  */
-export function pruneState(state: JournalState, atMs: number): void {
-  pruneJobs(state, state.endedJobs, JournalLimits.endedJobs, atMs);
-  pruneJobs(state, state.endedKeyedJobs, Infinity, atMs);
+export function pruneState(state: JournalState): void {
+  pruneJobs(state, state.endedJobs, JournalLimits.endedJobs);
+  pruneJobs(state, state.endedKeyedJobs, Infinity);
   pruneOldest(state.doneKeys, (key) => {
-    const doneAtMs = state.keys.get(key)?.doneAtMs ?? 0;
-    return atMs - doneAtMs >= JournalLimits.keyLifetimeMs && dropKey(state, key);
+    const ageMs = findAgeMs(state, state.keys.get(key));
+    return ageMs >= JournalLimits.keyLifetimeMs && dropKey(state, key);
   });
   pruneOldest(state.delegatedJobKeys.keys(), (key) => {
-    const delegatedAtMs = state.delegatedJobKeys.get(key)?.atMs ?? 0;
-    const isExpired = atMs - delegatedAtMs >= JournalLimits.delegatedJobKeyLifetimeMs;
+    const ageMs = findAgeMs(state, state.delegatedJobKeys.get(key));
+    const isExpired = ageMs >= JournalLimits.delegatedJobKeyLifetimeMs;
     return isExpired && state.delegatedJobKeys.delete(key);
   });
   pruneOldest(state.counted.keys(), (incarnationKey) => {
-    const countedAtMs = state.counted.get(incarnationKey)?.atMs ?? 0;
-    const isExpired = atMs - countedAtMs >= JournalLimits.requestCountLifetimeMs;
+    const ageMs = findAgeMs(state, state.counted.get(incarnationKey));
+    const isExpired = ageMs >= JournalLimits.requestCountLifetimeMs;
     if (!isExpired && state.counted.size <= JournalLimits.requestCountIncarnations) return false;
     return state.counted.delete(incarnationKey);
   });
--- a/packages/journal/src/restore-state.ts
+++ b/packages/journal/src/restore-state.ts
@@ -25,7 +25,10 @@
   openPeriods: [string, [string, AccountRow][]][];
   openPeriod: string;
   closedPeriods: ClosedPeriod[];
-  counted: [string, { sequence: number; atMs: number }][];
+  counted: [string, { sequence: number; atMs: number; keptSinceMs?: number }][];
+  /** Absent, as is `termStartMs`, in snapshots of versions that count the lifetimes by wall time. */
+  elapsedMs?: number;
+  termStartMs?: number;
   nextJobNumber: number;
   endedJobs: string[];
   endedKeyedJobs: string[];
@@ -61,6 +64,29 @@
   };
 }
 
+function isTime(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/**
+ * Restarts the lifetimes of all items when the snapshot has no time of the partition. An earlier version
+ * that has read a newer snapshot writes the `keptSinceMs` of its items without the time that they refer to.
+ */
+function restartLifetimes(saved: SavedState): SavedState {
+  if (isTime(saved.elapsedMs) && isTime(saved.termStartMs)) return saved;
+  const restart = <Item extends { keptSinceMs?: number }>(item: Item): Item =>
+    item.keptSinceMs === undefined ? item : { ...item, keptSinceMs: 0 };
+  return {
+    ...saved,
+    elapsedMs: 0,
+    termStartMs: 0,
+    jobs: saved.jobs.map(restart),
+    delegatedJobKeys: (saved.delegatedJobKeys ?? []).map(restart),
+    keys: saved.keys.map(restart),
+    counted: saved.counted.map(([incarnationKey, count]) => [incarnationKey, restart(count)]),
+  };
+}
+
 function buildState(saved: SavedState): JournalState {
   const jobs = saved.jobs.map(restoreJob);
   const taskJobs = jobs.flatMap((job) =>
@@ -86,6 +112,8 @@
     openPeriod: saved.openPeriod,
     closedPeriods: saved.closedPeriods,
     counted: new Map(saved.counted),
+    elapsedMs: saved.elapsedMs ?? 0,
+    termStartMs: saved.termStartMs ?? 0,
     nextJobNumber: saved.nextJobNumber,
     endedJobs: new Set(saved.endedJobs),
     endedKeyedJobs: new Set(saved.endedKeyedJobs),
@@ -106,7 +134,7 @@
     return err(Failure.create('bad-request', `${message}.`));
   }
   try {
-    return ok(buildState(value as SavedState));
+    return ok(buildState(restartLifetimes(value as SavedState)));
   } catch (error) {
     return err(Failure.create('bad-request', `${message}: ${String(error)}.`));
   }
--- a/packages/journal/src/save-state.ts
+++ b/packages/journal/src/save-state.ts
@@ -19,6 +19,8 @@
     openPeriod: state.openPeriod,
     closedPeriods: state.closedPeriods,
     counted: [...state.counted],
+    elapsedMs: state.elapsedMs,
+    termStartMs: state.termStartMs,
     nextJobNumber: state.nextJobNumber,
     endedJobs: [...state.endedJobs],
     endedKeyedJobs: [...state.endedKeyedJobs],
