Start the armed task of a scheduled job of which another lost its worker

Of a scheduled job with several armed tasks, one of which lost its worker before the start time, the other tasks kept their capacity and never started; when the job was cancelled it stayed in "stopping" for good. After a change of the owner a job of which only some tasks were armed never got the others placed. A planning round could also end with an exception.

Cause: armed tasks were started only while their job was in the state "armed". The lost task moved the job to "waiting", and from there to "running" when it was placed alone. A cancel freed armed tasks only in the state "armed", and an armed task cannot be stopped at a worker. A restored job was "armed" with its first armed task, so that the others were neither armed nor queued.

The start now depends on the armed tasks and not on the state of the job. The end of a job frees its armed tasks in every state. A job whose armed tasks are restored arms the rest. The tasks of a gang wait until all are armed, also beyond the start time, because they must start together. A job that cannot be armed becomes urgent work at its start time and no longer up to 1 s after it.

Evidence: the five tests of placement-scheduled.test.ts failed and pass.

--- a/packages/placement/src/adopt-task.ts
+++ b/packages/placement/src/adopt-task.ts
@@ -91,8 +91,10 @@
   const isComplete = job.placedCount + job.endedCount === job.tasks.length;
   if (adopted.state === 'armed') {
     task.state = lifecycles.task.step(task.state, 'arm');
-    if (job.state === 'waiting') job.state = lifecycles.job.step(job.state, 'arm');
     partition.armedJobs.push(job.spec.startAtMs ?? 0, job);
+    // The other tasks are armed in the next rounds; for a gang that is due, no queue holds them.
+    if (job.waitingTasks.length > 0) partition.jobsToArm.push(0, job);
+    else if (job.state === 'waiting') job.state = lifecycles.job.step(job.state, 'arm');
     return ok(undefined);
   }
   partition.markStarted(task, worker, adopted.startedAtMs ?? nowMs);
--- a/packages/placement/src/partition-state.ts
+++ b/packages/placement/src/partition-state.ts
@@ -184,6 +184,7 @@
   endJob(job: JobRecord, outcome: Outcome, reason: string, nowMs: number): JobEnd | null {
     if (job.state === 'ended' || (job.state === 'stopping' && job.placedCount > 0)) return null;
     this.getQueue(job).remove(job);
+    this.endArmedTasks(job);
     if (job.placedCount > 0) {
       job.state = lifecycles.job.step(job.state, 'stop');
       job.outcomeAfterStop = outcome;
@@ -201,6 +202,16 @@
     return { jobId: job.id, outcome, reason };
   }
 
+  /** Ends the armed tasks of a job, which never ran, and frees their capacity. */
+  private endArmedTasks(job: JobRecord): void {
+    if (job.spec.startAtMs === undefined) return;
+    for (const task of job.tasks) {
+      if (task.state !== 'armed') continue;
+      this.deallocate(task);
+      task.state = lifecycles.task.step(task.state, 'end');
+    }
+  }
+
   /** Records the data on which the latest decision about the job was based. */
   explain(job: JobRecord, code: Explanation['code'], subject: string, atMs: number): void {
     job.explanation = {
--- a/packages/placement/src/place-scheduled.ts
+++ b/packages/placement/src/place-scheduled.ts
@@ -2,6 +2,7 @@
 import type { Decision } from './decision.js';
 import type { JobRecord } from './job-record.js';
 import type { Round } from './round.js';
+import type { TaskRecord } from './task-record.js';
 import { vectors } from './vectors.js';
 import type { WorkerRecord } from './worker-record.js';
 
@@ -52,22 +53,33 @@
   return !vectors.fits(worker.used, worker.capacity);
 }
 
-/** Starts the armed jobs whose start time has passed, except those on overloaded workers. */
+/**
+ * Whether the armed tasks have to wait: for an overloaded worker, or for the tasks of a gang that are to be
+ * armed again because they lost their workers.
+ */
+function mustWait(job: JobRecord, armedTasks: readonly TaskRecord[]): boolean {
+  if (job.spec.kind === 'gang' && job.waitingTasks.length > 0) return true;
+  return armedTasks.some((task) => task.worker !== null && isOverloaded(task.worker));
+}
+
+/**
+ * Starts the armed tasks of jobs whose start time has passed. The other tasks of a job may wait, for example
+ * because their workers were removed.
+ */
 function startDueJobs(round: Round): void {
   const { partition, wallMs } = round;
   const delayedJobs: JobRecord[] = [];
   for (;;) {
     const job = partition.armedJobs.popDue(wallMs);
     if (job === null) break;
-    if (job.state !== 'armed') continue;
-    if (job.tasks.some((task) => task.worker !== null && isOverloaded(task.worker))) {
+    const armedTasks = job.tasks.filter((task) => task.state === 'armed');
+    if (armedTasks.length === 0) continue;
+    if (mustWait(job, armedTasks)) {
       delayedJobs.push(job);
       continue;
     }
-    for (const task of job.tasks) {
-      if (task.state === 'armed' && task.worker !== null) {
-        round.start(task, task.worker, 'its start time has passed');
-      }
+    for (const task of armedTasks) {
+      if (task.worker !== null) round.start(task, task.worker, 'its start time has passed');
     }
   }
   for (const job of delayedJobs) partition.armedJobs.push(job.spec.startAtMs ?? 0, job);
@@ -82,10 +94,18 @@
     const job = partition.jobsToArm.popDue(wallMs);
     if (job === null) break;
     if (job.state !== 'waiting' || job.waitingTasks.length === 0) continue;
-    // A job that is not armed by its start time becomes urgent work, for which other work may be checkpointed.
-    if ((job.spec.startAtMs ?? 0) <= wallMs) partition.enqueue(job);
+    const isGangWithArmedTask =
+      job.spec.kind === 'gang' && job.tasks.some((task) => task.state === 'armed');
+    const isDue = (job.spec.startAtMs ?? 0) <= wallMs;
+    // Tasks that are not armed by the start time become urgent work, for which other work may be checkpointed.
+    // The tasks of a gang start together, so they are armed until all are.
+    if (isDue && !isGangWithArmedTask) partition.enqueue(job);
     else if (!armJob(round, job)) jobsToRetry.push(job);
   }
-  for (const job of jobsToRetry) partition.jobsToArm.push(wallMs + ARM_RETRY_MS, job);
+  for (const job of jobsToRetry) {
+    const startAtMs = job.spec.startAtMs ?? 0;
+    const retryAtMs = wallMs + ARM_RETRY_MS;
+    partition.jobsToArm.push(startAtMs > wallMs ? Math.min(startAtMs, retryAtMs) : retryAtMs, job);
+  }
   startDueJobs(round);
 }
--- a/packages/placement/src/placement-history.test.ts
+++ b/packages/placement/src/placement-history.test.ts
@@ -8,7 +8,16 @@
 
 /** Steps of a random history. `selector` modulo the number of candidates chooses a job, task or worker. */
 type HistoryStep =
-  | { type: 'submit'; kind: JobKind; count: number; cores: number; team: number; urgent: boolean }
+  | {
+      type: 'submit';
+      kind: JobKind;
+      count: number;
+      cores: number;
+      team: number;
+      urgent: boolean;
+      /** Time until the start time; 0 for a job without one. */
+      startInMs: number;
+    }
   | { type: 'cancel' | 'end' | 'fail' | 'checkpoint' | 'lose'; selector: number }
   | { type: 'report'; selector: number; cores: number; lag: number }
   | { type: 'decide'; elapsedMs: number };
@@ -27,6 +36,7 @@
     cores: arbitraryCores,
     team: fc.nat(2),
     urgent: fc.boolean(),
+    startInMs: fc.constantFrom(0, 0, 0, 2_000, 15_000),
   }),
   fc.record({
     type: fc.constantFrom('cancel', 'end', 'fail', 'checkpoint', 'lose'),
@@ -96,9 +106,13 @@
     cores,
     team,
     urgent,
+    startInMs,
   }: Extract<HistoryStep, { type: 'submit' }>): void {
     const jobId = `p:${this.specs.size}`;
-    const spec = { ...createJobSpec(kind, count, cores, `team-${team}`), urgent };
+    const startAtMs = this.nowMs + startInMs;
+    const isScheduled = startInMs > 0 && kind !== 'service';
+    const base = { ...createJobSpec(kind, count, cores, `team-${team}`), urgent };
+    const spec = isScheduled ? { ...base, startAtMs } : base;
     this.specs.set(jobId, spec);
     const result = this.placement.submit(jobId, spec, this.nowMs, this.nowMs);
     if (result.isErr)
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -169,7 +169,6 @@
   cancel(jobId: string, nowMs: number): Result<JobEnd | null, Failure> {
     const job = this.partition.jobs.get(jobId);
     if (job === undefined) return err(Failure.create('not-found', `job ${jobId} does not exist`));
-    if (job.state === 'armed') this.endArmedTasks(job);
     return ok(this.partition.endJob(job, 'cancelled', 'cancelled by its caller', nowMs));
   }
 
@@ -269,13 +268,4 @@
   private describeQueue(job: JobRecord): string {
     return `${Math.max(0, this.partition.getQueue(job).size - 1)} other jobs of its queue`;
   }
-
-  /** Frees the capacity of the armed tasks of a cancelled job. */
-  private endArmedTasks(job: JobRecord): void {
-    for (const task of job.tasks) {
-      if (task.state !== 'armed') continue;
-      this.partition.deallocate(task);
-      task.state = lifecycles.task.step(task.state, 'end');
-    }
-  }
 }
--- a/packages/placement/src/round.ts
+++ b/packages/placement/src/round.ts
@@ -85,7 +85,8 @@
     if (job.waitingTasks.length > 0) return;
     partition.getQueue(job).remove(job);
     if (job.placedCount + job.endedCount < job.tasks.length) return;
-    job.state = lifecycles.job.step(job.state, 'run');
+    // An armed task may start after the last waiting one.
+    if (job.state !== 'running') job.state = lifecycles.job.step(job.state, 'run');
     partition.explain(job, 'placed', reason, nowMs);
   }
 
