Open one replacement of a silent peer connection at a time

Callers of one process got owner-unreachable for every call that another process had to answer, and job queries without an answer, for good: the peer connection stayed 'open' with no connection behind it (state dump: lastFrameAgeMs null, replacements 2).

Cause: each call that failed while the replacement of a silent connection was being opened probed the old connection again and opened a second replacement, which took the place of the first. When the first opened, the link took the second as its connection; when the second opened, it took none, and a link that is open opens no connection.

The new test fails without the change and passes with it.

--- a/packages/peer-socket/src/peer-client.test.ts
+++ b/packages/peer-socket/src/peer-client.test.ts
@@ -58,6 +58,8 @@
 interface Relay {
   address: string;
   freeze: () => void;
+  /** Accepts further connections without forwarding them; the returned function forwards them. */
+  hold: () => () => void;
   /** Number of connections that were opened so far. */
   countConnections: () => number;
 }
@@ -65,12 +67,20 @@
 /** Forwards TCP to `port`; `freeze` makes the open connections silent without closing them. */
 async function startRelay(port: number): Promise<Relay> {
   const socketPairs: [TcpSocket, TcpSocket][] = [];
-  const relay: Server = createServer((inbound) => {
+  let held: (() => void)[] | undefined;
+  const forward = (inbound: TcpSocket): void => {
     const outbound = connect(port, '127.0.0.1');
     inbound.pipe(outbound);
     outbound.pipe(inbound);
     for (const socket of [inbound, outbound]) socket.on('error', () => undefined);
     socketPairs.push([inbound, outbound]);
+  };
+  const relay: Server = createServer((inbound) => {
+    if (held === undefined) forward(inbound);
+    else
+      held.push(() => {
+        forward(inbound);
+      });
   });
   await new Promise<void>((resolve) => relay.listen(0, '127.0.0.1', resolve));
   closers.push(() => {
@@ -87,6 +97,13 @@
         outbound.pause();
       }
     },
+    hold: () => {
+      held = [];
+      return () => {
+        for (const release of held ?? []) release();
+        held = undefined;
+      };
+    },
     countConnections: () => socketPairs.length,
   };
 }
@@ -137,6 +154,27 @@
   expect(client.describe()[0]?.replacements).toEqual(1);
 });
 
+// Guards against a peer that can never be called again after it was paused: a second replacement was opened
+// while the first one was being opened, and the link then used neither.
+test('the peer client can call a peer again when several calls failed before a replacement was open', async () => {
+  const server = await startServer();
+  const relay = await startRelay(Number(server.address().split(':')[1]));
+  const client = createClient();
+  await client.call(relay.address, 'read-configuration', {}, 1_000);
+  relay.freeze();
+  const release = relay.hold();
+  for (let attempt = 0; attempt < 3; attempt += 1) {
+    // Longer than the timeout of a probe, so that each call fails on the old connection and is probed.
+    const unansweredCall = await client.call(relay.address, 'read-configuration', {}, 130);
+    expect(unansweredCall.isErr).toEqual(true);
+  }
+  release();
+  await new Promise<void>((resolve) => clock.after(200, resolve));
+  const reply = await client.call(relay.address, 'read-configuration', {}, 1_000);
+  expect(reply.isOk).toEqual(true);
+  expect(client.describe()[0]?.replacements).toEqual(1);
+});
+
 // Guards against a process that never exits after its stop: a probe that is outstanding when the client stops
 // gets no reply, and a connection that nothing closes was opened in place of the silent one.
 test('the peer client opens no connection after its stop when a probe is outstanding', async () => {
--- a/packages/peer-socket/src/peer-link.ts
+++ b/packages/peer-socket/src/peer-link.ts
@@ -185,8 +185,9 @@
   }
 
   private openReplacement(oldConnection: PeerConnection): void {
-    // The connection of an outstanding probe also ends when the link stops.
-    if (this.isStopped) return;
+    // The connection of an outstanding probe also ends when the link stops. A call that fails while the
+    // replacement is being opened starts another probe of the old connection.
+    if (this.isStopped || this.replacement !== undefined) return;
     this.machine.send({ type: 'PROBE_FAILED' });
     this.replacement = this.openConnection(() => {
       this.current = this.replacement;
