--- a/packages/bench/src/recovery/wait-for-outcomes.ts
+++ b/packages/bench/src/recovery/wait-for-outcomes.ts
@@ -8,10 +8,12 @@
 ): Promise<ReadonlyMap<string, string>> {
   const outcomes = new Map<string, string>();
   const endMs = cell.clock.monotonicMs() + withinMs;
-  while (outcomes.size < jobIds.length && cell.clock.monotonicMs() < endMs) {
+  const hasTime = (): boolean => cell.clock.monotonicMs() < endMs;
+  while (outcomes.size < jobIds.length && hasTime()) {
     for (const jobId of jobIds.filter((id) => !outcomes.has(id))) {
       const index = cell.readyIndexes()[0];
-      if (index === undefined) break;
+      // Each of many jobs may take the whole timeout of its call.
+      if (index === undefined || !hasTime()) break;
       const path = `/jobs/${encodeURIComponent(jobId)}`;
       const answer = await cell.call(index, 'GET', path, undefined, {}, 2_000);
       if (answer.type !== 'reply') continue;
--- a/packages/bench/src/soak/cell-links.ts
+++ b/packages/bench/src/soak/cell-links.ts
@@ -1,7 +1,10 @@
+import { randomInt } from 'node:crypto';
 import type { Clock } from '@acaciahoist/clock';
-import { findFreePorts } from '@acaciahoist/entry/find-free-ports';
 import { Link } from './link.js';
 
+/** Below the default range of ports for outgoing connections of Linux. */
+const FIRST_PORT = 20_000;
+
 interface Options {
   clock: Clock;
   processAddresses: readonly { listen: string; address: string }[];
@@ -27,10 +30,17 @@
           options.processAddresses[to]?.address ?? '',
         ]),
     ]);
-    const ports = await findFreePorts(pairs.length);
+    // A loopback address of its own: a link to an ended process does not listen, and another run must not
+    // take its port meanwhile.
+    const host = ['127', randomInt(1, 255), randomInt(255), randomInt(1, 255)].join('.');
     const links = new CellLinks();
     for (const [pairIndex, [from, to, target]] of pairs.entries()) {
-      const link = Link.create({ clock: options.clock, port: ports[pairIndex] ?? 0, target });
+      const link = Link.create({
+        clock: options.clock,
+        host,
+        port: FIRST_PORT + pairIndex,
+        target,
+      });
       links.links.push({ from, to, target, link });
       if (typeof to === 'string') await link.open();
     }
--- a/packages/bench/src/soak/link.test.ts
+++ b/packages/bench/src/soak/link.test.ts
@@ -28,7 +28,7 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const target = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const [port = 0] = await findFreePorts(1);
-  const link = Link.create({ clock: SystemClock.create(), port, target });
+  const link = Link.create({ clock: SystemClock.create(), host: '127.0.0.1', port, target });
   await link.open();
   const sockets: Socket[] = [];
   const open = async () => {
--- a/packages/bench/src/soak/link.ts
+++ b/packages/bench/src/soak/link.ts
@@ -3,11 +3,16 @@
 import type { LinkChange } from './link-change.js';
 import { LinkDirection } from './link-direction.js';
 
-const HOST = '127.0.0.1';
+interface Options {
+  clock: Clock;
+  host: string;
+  port: number;
+  target: string;
+}
 
-/** The connections from one side to one address: a TCP proxy on 127.0.0.1 that changes can disturb. */
+/** The connections from one side to one address: a TCP proxy that changes can disturb. */
 export class Link {
-  static create(options: { clock: Clock; port: number; target: string }): Link {
+  static create(options: Options): Link {
     return new Link(options);
   }
 
@@ -18,10 +23,10 @@
   private readonly directions = new Set<LinkDirection>();
   private readonly sockets = new Set<Socket>();
 
-  private constructor(private readonly options: { clock: Clock; port: number; target: string }) {}
+  private constructor(private readonly options: Options) {}
 
   get address(): string {
-    return `${HOST}:${this.options.port}`;
+    return `${this.options.host}:${this.options.port}`;
   }
 
   /** Accepts connections. */
@@ -33,7 +38,7 @@
     this.server = server;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
-      server.listen(this.options.port, HOST, resolve);
+      server.listen(this.options.port, this.options.host, resolve);
     });
   }
 
--- a/packages/bench/src/soak/step-runner.ts
+++ b/packages/bench/src/soak/step-runner.ts
@@ -1,5 +1,6 @@
 import { cancelBurst } from '../recovery/cancel-burst.js';
 import { digestText } from '../recovery/digest-text.js';
+import type { EntryProcess } from '../recovery/entry-process.js';
 import type { RecoveryCell } from '../recovery/recovery-cell.js';
 import { recoveryDeclaration } from '../recovery/recovery-declaration.js';
 import type { RecoveryLoad } from '../recovery/recovery-load.js';
@@ -86,12 +87,11 @@
     else if (process.running) this.cell.beginStop(index);
     this.stopping.add(incarnation);
     return () => {
-      this.track(this.awaitStop(index));
+      this.track(this.awaitStop(index, process));
     };
   }
 
-  private async awaitStop(index: number): Promise<void> {
-    const process = this.cell.process(index);
+  private async awaitStop(index: number, process: EntryProcess): Promise<void> {
     if (!(await process.waitForExit(STOP_TIMEOUT_MS))) {
       this.endlessStops.push(process.incarnation);
       await process.kill();
