Explain a job that was refused and then accepted by the refusal

Seen by operators: acaciahoist explain of a job that was refused four times during an outage and then accepted marked a timeout of 8 ms after it, which has no inputs, or before that the end of the job. Cause: a refusal and a late answer had the same weight once the job was accepted, and the newest of them won. Fix: the weights are named and in order; a refusal before the acceptance goes before a late answer.

--- a/packages/cli/src/commands/explain/choose-deciding-line.ts
+++ b/packages/cli/src/commands/explain/choose-deciding-line.ts
@@ -1,34 +1,42 @@
 import type { LogLine } from '../../log-lines/log-line.js';
 
-/** Events that end or refuse something, or end the use of a worker, in the order of their weight. */
-const WEIGHTS: Readonly<Record<string, number>> = {
-  'job-not-accepted': 4,
-  'job-unknown': 4,
-  'answer-timeout': 4,
-  'worker-gone': 4,
-  'worker-unreachable': 4,
-  'worker-ejected': 4,
-  'worker-draining': 4,
-  'worker-entry-unreadable': 4,
-  'worker-entry-not-used': 4,
-  'worker-rows-unreadable': 3,
-  'start-not-answered': 3,
-  'stray-run-stopped': 3,
+/** Weights of lines; the line with the greatest one decided. */
+const Weight = {
+  /** An answer or an end that was not the wanted one, or a worker that is out. */
+  adverseEnd: 5,
+  /** A run that has to be repeated. */
+  lostRun: 4,
+  /** A wait, or a refusal that the client repeated until the job was accepted. */
+  delay: 3,
+  /** An answer that came too late, although the job was accepted. */
+  lateAnswer: 2,
+  jobEnded: 1,
+  none: 0,
+} as const;
+type Weight = (typeof Weight)[keyof typeof Weight];
+
+const WEIGHTS: Readonly<Record<string, Weight>> = {
+  'job-not-accepted': Weight.adverseEnd,
+  'job-unknown': Weight.adverseEnd,
+  'answer-timeout': Weight.adverseEnd,
+  'worker-gone': Weight.adverseEnd,
+  'worker-unreachable': Weight.adverseEnd,
+  'worker-ejected': Weight.adverseEnd,
+  'worker-draining': Weight.adverseEnd,
+  'worker-entry-unreadable': Weight.adverseEnd,
+  'worker-entry-not-used': Weight.adverseEnd,
+  'worker-rows-unreadable': Weight.lostRun,
+  'start-not-answered': Weight.lostRun,
+  'stray-run-stopped': Weight.lostRun,
 };
-const ENDED_WRONG_WEIGHT = 4;
-const RUN_ENDED_WRONG_WEIGHT = 3;
-const LATE_START_WEIGHT = 2;
-/** A refusal that the client repeated until the job was accepted. */
-const SUPERSEDED_REFUSAL_WEIGHT = 2;
-const JOB_ENDED_WEIGHT = 1;
-/** Time in ms from which on a wait explains that a job was late: the shortest aim of urgent work is near it. */
-const LATE_START_MS = 1_000;
 /** Weights of answers after which the job was accepted all the same. */
-const SUPERSEDED_WEIGHTS: Readonly<Record<string, number>> = {
-  'job-not-accepted': SUPERSEDED_REFUSAL_WEIGHT,
-  'answer-timeout': SUPERSEDED_REFUSAL_WEIGHT,
-  'job-unknown': 0,
+const SUPERSEDED_WEIGHTS: Readonly<Record<string, Weight>> = {
+  'job-not-accepted': Weight.delay,
+  'answer-timeout': Weight.lateAnswer,
+  'job-unknown': Weight.none,
 };
+/** Time in ms from which on a wait explains that a job was late: the shortest aim of urgent work is near it. */
+const LATE_START_MS = 1_000;
 
 /**
  * Chooses the line that explains what happened to an id, from its lines in order of time: the newest answer or
@@ -38,7 +46,7 @@
 export function chooseDecidingLine(lines: readonly LogLine[]): LogLine | undefined {
   const acceptedAt = lines.findLastIndex((line) => line.event === 'job-accepted');
   let deciding: LogLine | undefined;
-  let decidingWeight = 0;
+  let decidingWeight: Weight = Weight.none;
   lines.forEach((line, index) => {
     const supersededWeight = index < acceptedAt ? SUPERSEDED_WEIGHTS[line.event] : undefined;
     const weight = supersededWeight ?? weigh(line);
@@ -55,14 +63,14 @@
   return deciding;
 }
 
-function weigh(line: LogLine): number {
+function weigh(line: LogLine): Weight {
   const { event, fields } = line;
   if (event === 'job-ended')
-    return fields.get('outcome') === 'completed' ? JOB_ENDED_WEIGHT : ENDED_WRONG_WEIGHT;
-  if (event === 'run-ended') return fields.get('how') === 'done' ? 0 : RUN_ENDED_WRONG_WEIGHT;
+    return fields.get('outcome') === 'completed' ? Weight.jobEnded : Weight.adverseEnd;
+  if (event === 'run-ended') return fields.get('how') === 'done' ? Weight.none : Weight.lostRun;
   if (event === 'start-decided')
-    return readNumber(line, 'waitedMs') >= LATE_START_MS ? LATE_START_WEIGHT : 0;
-  return WEIGHTS[event] ?? 0;
+    return readNumber(line, 'waitedMs') >= LATE_START_MS ? Weight.delay : Weight.none;
+  return WEIGHTS[event] ?? Weight.none;
 }
 
 function readNumber(line: LogLine | undefined, name: string): number {
--- a/packages/cli/src/commands/explain/explain.test.ts
+++ b/packages/cli/src/commands/explain/explain.test.ts
@@ -62,7 +62,7 @@
   const lost = await explain(['da0fc485eb4f6585', OUTAGE]);
   expect(lost.deciding.join()).toInclude('how=lost reason=decision-too-old');
   const refused = await explain(['00071c736cd4e750', OUTAGE]);
-  expect(refused.deciding.join()).toInclude('event=answer-timeout');
+  expect(refused.deciding.join()).toInclude('reason=refused storeSilentMs=3394');
   const waits = [1_100, 5_300, 2_200].map(
     (waitedMs, index) => `${index} f event=start-decided step=ab.0.${index} waitedMs=${waitedMs}`,
   );
