Move long-running tasks off draining workers within maxUnavailable

What it does: a long-running task on a draining worker is stopped by the owner, and placed again elsewhere, while the worker still serves. Of a step with maxUnavailable, none is stopped while that many others are away: a stop is on the way, no run is recorded, or no worker that answers lists the run as at work. Before, such tasks ran until their worker left, and all of them were away until its leases had expired; only tasks with checkpoints and below 100% were stopped before it left, all at once, and the limit was not consulted.

Why this design: one module decides (disruption-budget.ts), so that whatever else comes to stop long-running tasks asks the same question. It counts what the owner sees anyway and records nothing. A new owner stops none for 3 s, since a run that the former one has stopped may still be listed as at work. A stop ends a whole gang, so a gang needs a limit of its size. Without room elsewhere for the task and those of its step that are away, the task stays until 0.9 s before its worker leaves.

Checked: the emulator has long-running tasks, and every test of it now checks the rule on stops (find-excess-stops.ts, with its own test).

--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -19,6 +19,7 @@
 import { EmulatedPeers } from './emulated-peers.js';
 import { EmulatedStore } from './emulated-store.js';
 import { EmulatedWorker } from './emulated-worker.js';
+import { findExcessStops } from './find-excess-stops.js';
 import { findViolations } from './find-violations.js';
 import type { HistoryEvent } from './history-event.js';
 import { Random } from '@acaciahoist/random';
@@ -434,7 +435,13 @@
       cancelledAtMs: this.cancelledAtMs,
       refusedJobs: this.refusedJobs,
     });
-    return [...violations, ...this.lowPendingCounts.values(), ...this.unknownJobs.values()];
+    const excessStops = findExcessStops(this);
+    return [
+      ...violations,
+      ...excessStops,
+      ...this.lowPendingCounts.values(),
+      ...this.unknownJobs.values(),
+    ];
   }
 
   /** Returns the accepted jobs that a process with a replica does not report as ended. */
@@ -448,11 +455,16 @@
     });
   }
 
-  /** Returns how long a run lasts and how it ends, by the estimate of its step and the payload of its job. */
+  /**
+   * Returns how long a run lasts and how it ends, by the estimate of its step and the payload of its job. A
+   * long-running task does not end by itself.
+   */
   private getRunPlan(task: string, run: number): { durationMs: number; how: RunEnd } {
     const ref = taskName.parse(task);
     const job = ref && this.jobs.get(ref.job);
-    const durationMs = job?.steps[ref?.step ?? 0]?.estimateMs ?? 100;
+    const step = job?.steps[ref?.step ?? 0];
+    const durationMs =
+      step?.longRunning === true ? Number.POSITIVE_INFINITY : (step?.estimateMs ?? 100);
     const fails =
       job?.payload.startsWith('fails') === true || (job?.payload === 'flaky' && run === 1);
     return { durationMs, how: fails ? RunEnd.failed : RunEnd.done };
--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -9,6 +9,7 @@
 import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
 import type { WorkerEntry } from '@acaciahoist/cell-types/worker-entry';
 import { CallFault } from './call-fault.js';
+import { longRunningStartupMs } from './long-running-startup-ms.js';
 import type { EmulatedGangs } from './emulated-gangs.js';
 import type { HistoryEvent } from './history-event.js';
 
@@ -17,7 +18,7 @@
   task: string;
   run: number;
   startedAtMs: number;
-  /** Duration in ms of the work, unless the run ends before. */
+  /** Duration in ms of the work, unless the run ends before; infinite for a long-running task. */
   plannedDurationMs: number;
   /** Cancels the timer that ends the run when its work is done. */
   cancel: () => void;
@@ -40,8 +41,6 @@
 
 /** Delay in ms from a call to its reply. */
 const REPLY_DELAY_MS = 3;
-/** Time in ms from a stop to the end of the run. */
-const STOP_DURATION_MS = 100;
 /** Delay in ms after which a late call takes effect. */
 const LATE_CALL_DELAY_MS = 4_000;
 /** Tail latency in ms of a serving task alone on its worker. */
@@ -59,6 +58,8 @@
   chooseFault: (caller: string, kind: keyof Omit<WorkerClient, 'close'>) => CallFault = () =>
     CallFault.none;
   isUp = true;
+  /** Time in ms from a stop to the end of the run. */
+  stopDurationMs = 100;
   private readonly incarnationStartMs: number;
   /** Highest fencing token received. */
   private token = 0;
@@ -222,10 +223,7 @@
         run,
         checkpoint: '',
         load: this.options.isBestEffort(task) ? 0 : this.computeTailLatencyMs(),
-        percent: Math.min(
-          99,
-          Math.floor(((this.options.clock.monotonicMs() - startedAtMs) * 100) / plannedDurationMs),
-        ),
+        percent: computePercent(this.options.clock.monotonicMs() - startedAtMs, plannedDurationMs),
       })),
       ended: [...this.endedRuns],
       lastEnd: Math.max(0, ...this.endedRuns.map((end) => end.number)),
@@ -249,7 +247,7 @@
     };
     const gangSize = this.options.getGangSize(order.task);
     const cancel =
-      gangSize > 0
+      gangSize > 0 || runPlan.durationMs === Number.POSITIVE_INFINITY
         ? (): void => undefined
         : this.options.clock.after(runPlan.durationMs, () => {
             finish(runPlan.how);
@@ -276,7 +274,7 @@
     this.token = token;
     this.highestFinishedRuns.set(task, Math.max(run, this.highestFinishedRuns.get(task) ?? 0));
     if (this.runs.get(task)?.run === run)
-      this.options.clock.after(STOP_DURATION_MS, () => {
+      this.options.clock.after(this.stopDurationMs, () => {
         this.finish(task, run, RunEnd.stopped);
       });
     return StopReply.confirmed;
@@ -358,6 +356,13 @@
   }
 }
 
+/** Returns the completed share of the work in percent; 100 for a long-running task that is at work. */
+function computePercent(elapsedMs: number, plannedDurationMs: number): number {
+  if (plannedDurationMs === Number.POSITIVE_INFINITY)
+    return elapsedMs >= longRunningStartupMs ? 100 : 0;
+  return Math.min(99, Math.floor((elapsedMs * 100) / plannedDurationMs));
+}
+
 /** Returns the key of a gang: its step, which is the task name without the task index, and its run. */
 function formatGangKey(task: string, run: number): string {
   return `${task.slice(0, task.lastIndexOf('.'))}/${run}`;
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -12,7 +12,8 @@
 import { AdviceScheduler } from './advice-scheduler.js';
 import { BegunJobs } from './begun-jobs.js';
 import { callTimeouts } from './call-timeouts.js';
-import { estimateRemainingMs } from './estimate-remaining-ms.js';
+import { DisruptionBudget } from './disruption-budget.js';
+import { Evacuator } from './evacuator.js';
 import { limits } from './limits.js';
 import { Proposals } from './proposals.js';
 import { RunTracker } from './run-tracker.js';
@@ -88,6 +89,7 @@
   private readonly runTracker: RunTracker;
   private readonly startSender: StartSender;
   private readonly planLoop: PlanLoop;
+  private readonly evacuator: Evacuator;
   /** Jobs whose end was logged. A leftover run may end after its job, whose end is not logged again. */
   private readonly loggedJobs = new Set<string>();
   private cancelTimers: (() => void)[] = [];
@@ -130,6 +132,7 @@
     };
     this.runTracker = RunTracker.create(context, RunMonitor.create(context));
     this.startSender = StartSender.create(context);
+    this.evacuator = Evacuator.create(context, DisruptionBudget.create(context));
     this.planLoop = PlanLoop.create(context, this.adviceScheduler);
   }
 
@@ -140,7 +143,7 @@
     });
     this.repeat(limits.planIntervalMs, () => {
       this.endLostRuns();
-      this.stopRunsOnLeavingWorkers();
+      this.evacuator.evacuate();
       this.planLoop.plan();
     });
     this.repeat(limits.pendingReportIntervalMs, () => {
@@ -484,20 +487,6 @@
       });
   }
 
-  /** Stops runs that can resume from a checkpoint and would not end before their worker leaves. */
-  private stopRunsOnLeavingWorkers(): void {
-    const nowMs = this.options.clock.monotonicMs();
-    for (const session of this.sessions.values()) {
-      if (!session.entry.draining || nowMs < session.leavesAtMs - limits.leaveMarginMs) continue;
-      for (const trackedRun of this.runs.listOn(session.id)) {
-        const step = this.options.state.findStep(trackedRun.task);
-        const endsAtMs = nowMs + estimateRemainingMs(trackedRun, nowMs);
-        if (step?.checkpointing === true && endsAtMs > session.leavesAtMs)
-          this.sendStop(session, trackedRun);
-      }
-    }
-  }
-
   /** Ends the runs on unreachable workers as lost once all leases of these workers have expired. */
   private endLostRuns(): void {
     const nowMs = this.options.clock.monotonicMs();
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -58,6 +58,11 @@
    * to 400 ms.
    */
   leaveMarginMs: 900,
+  /**
+   * A new owner stops no long-running task by its own choice for this time: the former owner may have sent stops
+   * for up to `maxAppendAgeForStopMs`, a stop takes up to 400 ms, and the next list of runs up to `holdWaitMs`.
+   */
+  takeoverStopPauseMs: 3_000,
   /** Minimum time between two stop orders for the same run. */
   stopRepeatIntervalMs: 300,
   /** Minimum time between two planning rounds. */
