Record that an armed task ends when its worker is removed

An owner that held at the start time (log unreachable) started both when the worker was listed again, and a successor restored both.

Cause: the removal of a worker freed its armed tasks in the placement only. They are not in the table of tasks that may be at a worker, whose ends are journalled. The owner now records them as refused, which also keeps it from starting them while that record waits for the log.

Evidence: the new test found both workers in the list of armed tasks, and passes now; the tests of partition-owner and placement pass.

--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -270,3 +270,25 @@
   await advance(5_000);
   expect(worker.startedTaskIds.length).toEqual(1);
 });
+
+/** Lists a worker without a task in the platform's list. */
+function createListedWorker(address: string) {
+  const resources = { millicores: 8_000, memoryMib: 8_000, accelerators: {} };
+  return { address, rack: 'r', dataCentre: 'd', region: 'g', resources, leaving: false };
+}
+
+// Guards against two runs of a non-repeatable job: the worker of its armed task leaves the list and returns, and the
+// owner starts the task there and at its new worker while it holds.
+test('the partition owner starts a job once when the worker of its armed task leaves the list and returns', async () => {
+  const { clock, ledger, worker, owner, advance, submit } = createOwner();
+  await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(4_000);
+  expect([...ledger.state().armed.values()].map((task) => task.worker)).toEqual([WORKER]);
+  owner.setWorkers([createListedWorker('127.0.0.1:2')]);
+  await advance(2_000);
+  expect([...ledger.state().armed.values()].map((task) => task.worker)).toEqual(['127.0.0.1:2']);
+  owner.setWorkers([createListedWorker('127.0.0.1:2'), createListedWorker(WORKER)]);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -538,7 +538,12 @@
   private removeIfEmpty(address: string): void {
     this.placement.setWorkerState(address, 'suspended');
     if (this.tasks.listByWorker(address).length > 0) return;
-    this.record([], this.placement.removeWorker(address, this.options.clock.monotonicMs()));
+    const atMs = this.options.clock.wallMs();
+    // Without their end in the journal, the armed tasks would start here too when the worker returns.
+    const facts = this.placement
+      .listArmedTaskIds(address)
+      .map((taskId): JournalEntry => ({ type: 'task-ended', taskId, outcome: 'refused', atMs }));
+    this.record(facts, this.placement.removeWorker(address, this.options.clock.monotonicMs()));
     this.workers.delete(address);
     this.fleet.remove(address);
   }
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -101,6 +101,12 @@
     partition.workersToDrain.add(worker);
   }
 
+  /** Lists the armed tasks of a worker, which have not been started. */
+  listArmedTaskIds(address: string): readonly string[] {
+    const worker = this.partition.workerTable.byAddress.get(address);
+    return [...(worker?.tasks ?? [])].filter((task) => task.state === 'armed').map(({ id }) => id);
+  }
+
   /**
    * Removes a worker whose tasks have certainly ended. Repeatable tasks are placed again; a job
    * with a task that is not repeatable ends as `unknown`.
