Start no armed task of a cancelled or failed job without the log

Cause: only tasks whose own end waits for the log were left out.

The test worker can be unreachable at single addresses, refuse starts, and call back at a start.

--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -292,3 +292,34 @@
   await advance(4_000);
   expect(worker.startedTaskIds.length).toEqual(1);
 });
+
+// Guards against a cancelled job that starts because its cancel took effect when the owner had lost its lease.
+test('the partition owner does not start the armed task of a cancelled job while it holds', async () => {
+  const { clock, ledger, worker, owner, advance, submit } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.unknownCommits = 1;
+  expect((await owner.cancel(jobId)).isErr).toEqual(true);
+  ledger.currentAuthority = 'holding';
+  await advance(5_000);
+  expect(worker.startedTaskIds).toEqual([]);
+});
+
+// Guards against a task that starts after its job has failed: the record of that end waits for the log.
+test('the partition owner does not start the armed task of a failed job while it holds', async () => {
+  const { clock, ledger, worker, owner, advance, submit } = createOwner();
+  owner.setWorkers([createListedWorker(WORKER), createListedWorker('127.0.0.1:2')]);
+  const groups = [{ name: 'g', count: 2, resources: { ...demand, millicores: 6_000 } }];
+  await submit({ ...nonRepeatableSpec, groups, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  expect(ledger.state().armed.size).toEqual(2);
+  ledger.currentAuthority = 'holding';
+  worker.unreachableAddresses.add('127.0.0.1:2');
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'failed');
+  await advance(2_000);
+  worker.unreachableAddresses.clear();
+  await advance(5_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -128,7 +128,7 @@
       startDeadlineMs: options.startDeadlineMs,
       retryDelayMs: options.roundDelayMs,
       isStopped: () => this.isStopped,
-      hasEnded: (taskId) => this.unrecordedEndTaskIds.has(taskId),
+      hasEnded: (taskId, jobId) => this.unrecordedEndTaskIds.has(taskId) || this.isStopping(jobId),
       onRefused: (taskId) => {
         this.refuseStart(taskId);
       },
@@ -316,6 +316,12 @@
     );
   }
 
+  /** True when the job was cancelled, has failed or has ended, even if the journal does not contain that yet. */
+  private isStopping(jobId: string): boolean {
+    const state = this.placement.jobState(jobId);
+    return state === 'stopping' || state === 'ended';
+  }
+
   /** True when the partition has a worker that is not leaving. */
   private hasWorkers(): boolean {
     return [...this.workers.values()].some((worker) => !worker.leaving);
--- a/packages/partition-owner/src/task-starter.ts
+++ b/packages/partition-owner/src/task-starter.ts
@@ -26,8 +26,11 @@
   /** Delay before the start of an armed task that was not sent is sent again. */
   retryDelayMs: number;
   isStopped: () => boolean;
-  /** True when this owner has ended the task, even if the journal does not contain its end yet. */
-  hasEnded: (taskId: string) => boolean;
+  /**
+   * True when this owner has ended the task or stops or has ended its job, even if the journal does not
+   * contain that yet.
+   */
+  hasEnded: (taskId: string, jobId: string) => boolean;
   /** Called when the task certainly did not start. */
   onRefused: (taskId: string) => void;
   /** Called when the worker has the task. */
@@ -79,13 +82,14 @@
     for (const { taskId, jobId, worker, startAtMs } of state.armed.values()) {
       // The record of an armed task may take effect after the owner gave the task up, and the record of its end
       // follows only with the lease.
-      if (hasEnded(taskId)) continue;
+      if (hasEnded(taskId, jobId)) continue;
       const job = state.jobs.get(jobId);
       const placedTask = tasks.find(taskId);
       const isInProgress =
         placedTask?.state === 'running' ||
         (placedTask?.startableUntilMs ?? 0) > clock.monotonicMs();
-      if (job === undefined || isInProgress || (startAtMs ?? 0) > clock.wallMs()) continue;
+      const mayStart = job?.cancelAtMs === null && !isInProgress;
+      if (!mayStart || (startAtMs ?? 0) > clock.wallMs()) continue;
       const group = job.tasks.get(taskId)?.group ?? 0;
       const resources = job.spec.groups[group]?.resources ?? NO_RESOURCES;
       const start = { type: 'start', taskId, jobId, worker, group, resources } as const;
@@ -154,7 +158,7 @@
    */
   private settleUnsent(start: StartDecision): void {
     const { clock, ledger, tasks, retryDelayMs, hasEnded } = this.options;
-    const { taskId, worker } = start;
+    const { taskId, jobId, worker } = start;
     // A report that arrived in the meantime has shown that a predecessor started the task.
     if (this.isRunning(taskId)) {
       this.options.onStarted(taskId);
@@ -166,7 +170,7 @@
     }
     clock.after(retryDelayMs, () => {
       const isUnsettled =
-        tasks.find(taskId)?.state !== 'running' && this.isArmed(taskId) && !hasEnded(taskId);
+        tasks.find(taskId)?.state !== 'running' && this.isArmed(taskId) && !hasEnded(taskId, jobId);
       const isOwner = !this.options.isStopped() && ledger.authority() === 'leased';
       if (isUnsettled && isOwner) void this.sendStarts(worker, [start]);
     });
--- a/packages/partition-owner/src/test-worker.ts
+++ b/packages/partition-owner/src/test-worker.ts
@@ -8,7 +8,7 @@
 
 const USAGE = { millicores: 100, memoryMib: 100, accelerators: {} };
 
-/** In-memory worker for tests. It ignores the address of a call. */
+/** In-memory worker for tests. Workers with different addresses share its tasks. */
 export class TestWorker implements WorkerClient {
   static create(): TestWorker {
     return new TestWorker();
@@ -19,9 +19,13 @@
   incarnation = 'w-1';
   /**
    * `lost`: a start takes effect and its reply is lost; `dropped`: a start has no effect and no reply;
-   * `down`: no call reaches the worker.
+   * `refused`: the worker refuses a start; `down`: no call reaches the worker.
    */
-  fault: 'none' | 'lost' | 'dropped' | 'down' = 'none';
+  fault: 'none' | 'lost' | 'dropped' | 'refused' | 'down' = 'none';
+  /** Addresses of workers that no start reaches. */
+  readonly unreachableAddresses = new Set<string>();
+  /** Called when a start is sent. */
+  onStart: () => void = () => undefined;
   /** Number of next fence calls whose reply is lost. */
   lostFenceCalls = 0;
   private readonly tasks = new Map<string, TaskOutcome | null>();
@@ -47,11 +51,21 @@
   }
 
   start(
-    _worker: string,
+    worker: string,
     _token: number,
     starts: Parameters<WorkerClient['start']>[2],
   ): Promise<StartResult> {
-    if (this.fault === 'down') return Promise.resolve(failUnsent());
+    this.onStart();
+    if (this.fault === 'down' || this.unreachableAddresses.has(worker))
+      return Promise.resolve(failUnsent());
+    if (this.fault === 'refused') {
+      const refused = starts.map(({ taskId }) => ({
+        taskId,
+        result: 'refused' as const,
+        reason: 'test',
+      }));
+      return Promise.resolve(Result.ok(refused));
+    }
     if (this.fault === 'dropped') return Promise.resolve(failUnknown());
     const results = starts.map(({ taskId }) => {
       const isKnown = this.tasks.has(taskId);
