--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -128,7 +128,7 @@
       startDeadlineMs: options.startDeadlineMs,
       retryDelayMs: options.roundDelayMs,
       isStopped: () => this.isStopped,
-      hasEnded: (taskId) => this.unrecordedEndTaskIds.has(taskId),
+      hasEnded: (taskId, jobId) => this.unrecordedEndTaskIds.has(taskId) || this.isStopping(jobId),
       onRefused: (taskId) => {
         this.refuseStart(taskId);
       },
@@ -316,6 +316,12 @@
     );
   }
 
+  /** True when the job was cancelled, has failed or has ended, even if the journal does not contain that yet. */
+  private isStopping(jobId: string): boolean {
+    const state = this.placement.jobState(jobId);
+    return state === 'stopping' || state === 'ended';
+  }
+
   /** True when the partition has a worker that is not leaving. */
   private hasWorkers(): boolean {
     return [...this.workers.values()].some((worker) => !worker.leaving);
@@ -538,7 +544,12 @@
   private removeIfEmpty(address: string): void {
     this.placement.setWorkerState(address, 'suspended');
     if (this.tasks.listByWorker(address).length > 0) return;
-    this.record([], this.placement.removeWorker(address, this.options.clock.monotonicMs()));
+    const atMs = this.options.clock.wallMs();
+    // Without their end in the journal, the armed tasks would start here too when the worker returns.
+    const facts = this.placement
+      .listArmedTaskIds(address)
+      .map((taskId): JournalEntry => ({ type: 'task-ended', taskId, outcome: 'refused', atMs }));
+    this.record(facts, this.placement.removeWorker(address, this.options.clock.monotonicMs()));
     this.workers.delete(address);
     this.fleet.remove(address);
   }
