Settle the run of an armed task that the placement did not start

A scheduled job that may not be repeated could run twice: an owner that held at the start time (log unreachable) started its armed task, the worker restarted, and when the lease was back the owner started the task again in the new incarnation. When the worker refused such a start, the refusal ended with an exception that nothing handles, which ends the process.

Cause: the placement decides nothing while the owner holds, so the task was still armed in it when its run ended. It ignored that end and later decided the start, and it rejected the refusal ("task in state armed does not accept event retry"). The end of a run now first marks the armed task as started, at its start time, and a refusal makes it wait to be armed again.

Since the end of an armed task now counts, an owner that has waited out the leases of a lost worker records its armed tasks as refused before their start time, when no owner has started them, and as lapsed afterwards. Before, they were recorded as lapsed at any time, so that the next owner ended such a job as unknown.

The test worker can be unreachable for all calls at single addresses.

--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -28,13 +28,14 @@
   clock = ManualClock.create(1_000_000),
   ledger = TestLedger.create(),
   worker = TestWorker.create(),
+  armBeforeMs = 5_000,
 ) {
   const owner = PartitionOwner.create({
     partition: 'p',
     clock,
     ledger,
     workers: worker,
-    placement: { teams: [{ name: 't', quotaPerMille: 1_000 }], limits: { armBeforeMs: 5_000 } },
+    placement: { teams: [{ name: 't', quotaPerMille: 1_000 }], limits: { armBeforeMs } },
     taskLeaseMs: 10_000,
     startDeadlineMs: 2_000,
     roundDelayMs: 20,
@@ -323,3 +324,63 @@
   await advance(5_000);
   expect(worker.startedTaskIds.length).toEqual(1);
 });
+
+// Guards against a second run of a non-repeatable job: the owner started its armed task while it held, and the worker
+// restarted before the lease was back.
+test('the partition owner ends a job as unknown when the worker restarted after a start without the log', async () => {
+  const { clock, ledger, worker, advance, submit, findOutcome } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.restart();
+  await advance(2_000);
+  ledger.currentAuthority = 'leased';
+  await advance(5_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('unknown');
+});
+
+// Guards against an exception, after which the owner makes no further planning round, and against a job that is not
+// placed again.
+test('the partition owner places a task again when its worker refuses the start of an armed task', async () => {
+  const { clock, ledger, worker, advance, submit } = createOwner();
+  await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  worker.fault = 'refused';
+  worker.onStart = () => {
+    // The lease is back when the worker answers.
+    ledger.currentAuthority = 'leased';
+    worker.onStart = () => undefined;
+  };
+  await advance(3_100);
+  expect(ledger.authority()).toEqual('leased');
+  worker.fault = 'none';
+  await advance(3_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
+
+// Guards against a scheduled job that ends as unknown although its task never ran: its worker is lost before the start
+// time.
+test('the successor of a partition owner arms a task elsewhere when its worker is lost before the start time', async () => {
+  const armBeforeMs = 30_000;
+  const predecessor = createOwner(undefined, undefined, undefined, armBeforeMs);
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 40_000 });
+  await advance(12_000);
+  const [first = ''] = ledger.state().armed.keys();
+  predecessor.owner.stop();
+  worker.unreachableAddresses.add(WORKER);
+  const successor = createOwner(clock, ledger, worker, armBeforeMs);
+  successor.owner.setWorkers([createListedWorker(WORKER), createListedWorker('127.0.0.1:2')]);
+  await successor.advance(15_000);
+  const ends = ledger.entries.filter((entry) => entry.type === 'task-ended');
+  expect(ends.map(({ taskId, outcome }) => [taskId, outcome])).toEqual([[first, 'refused']]);
+  await successor.advance(15_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await successor.advance(2_500);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -497,15 +497,18 @@
    * because its deadline has passed or it carries the token of a predecessor.
    */
   private settleUnlistedStart(taskId: string, incarnation: string): void {
-    const armed = this.options.ledger.state().armed.get(taskId);
-    const isBeforeStartTime =
-      armed !== undefined && (armed.startAtMs ?? 0) > this.options.clock.wallMs();
-    if (isBeforeStartTime) return;
+    if (this.isBeforeStartTime(taskId)) return;
     // Another incarnation of the worker does not know which tasks the assigned incarnation started.
     if (this.tasks.find(taskId)?.workerIncarnation === incarnation) this.refuseStart(taskId);
     else this.endTask(taskId, 'lapsed', 0);
   }
 
+  /** True when the task is armed and its start time has not come, so that no owner has started it. */
+  private isBeforeStartTime(taskId: string): boolean {
+    const armed = this.options.ledger.state().armed.get(taskId);
+    return armed !== undefined && (armed.startAtMs ?? 0) > this.options.clock.wallMs();
+  }
+
   private onReport(address: string, report: WorkerReport): void {
     const { clock } = this.options;
     for (const task of report.tasks) {
@@ -533,7 +536,10 @@
       worker: address,
       tasks: this.tasks.listByWorker(address).length,
     });
-    for (const task of this.tasks.listByWorker(address)) this.endTask(task.taskId, 'lapsed', 0);
+    for (const { taskId } of this.tasks.listByWorker(address)) {
+      if (this.isBeforeStartTime(taskId)) this.refuseStart(taskId);
+      else this.endTask(taskId, 'lapsed', 0);
+    }
     this.removeIfEmpty(address);
   }
 
--- a/packages/partition-owner/src/test-worker.ts
+++ b/packages/partition-owner/src/test-worker.ts
@@ -22,7 +22,7 @@
    * `refused`: the worker refuses a start; `down`: no call reaches the worker.
    */
   fault: 'none' | 'lost' | 'dropped' | 'refused' | 'down' = 'none';
-  /** Addresses of workers that no start reaches. */
+  /** Addresses of workers that no call reaches. */
   readonly unreachableAddresses = new Set<string>();
   /** Called when a start is sent. */
   onStart: () => void = () => undefined;
@@ -42,12 +42,12 @@
     this.tasks.clear();
   }
 
-  fence(): Promise<Result<WorkerReport, Failure>> {
+  fence(worker: string): Promise<Result<WorkerReport, Failure>> {
     if (this.lostFenceCalls > 0) {
       this.lostFenceCalls -= 1;
       return Promise.resolve(failUnknown());
     }
-    return Promise.resolve(this.fault === 'down' ? failUnsent() : Result.ok(this.createReport()));
+    return Promise.resolve(this.isDown(worker) ? failUnsent() : Result.ok(this.createReport()));
   }
 
   start(
@@ -56,8 +56,7 @@
     starts: Parameters<WorkerClient['start']>[2],
   ): Promise<StartResult> {
     this.onStart();
-    if (this.fault === 'down' || this.unreachableAddresses.has(worker))
-      return Promise.resolve(failUnsent());
+    if (this.isDown(worker)) return Promise.resolve(failUnsent());
     if (this.fault === 'refused') {
       const refused = starts.map(({ taskId }) => ({
         taskId,
@@ -76,16 +75,16 @@
     return Promise.resolve(this.fault === 'lost' ? failUnknown() : Result.ok(results));
   }
 
-  renew(): Promise<Result<void, Failure>> {
-    return Promise.resolve(this.fault === 'down' ? failUnsent() : Result.ok(undefined));
+  renew(worker: string): Promise<Result<void, Failure>> {
+    return Promise.resolve(this.isDown(worker) ? failUnsent() : Result.ok(undefined));
   }
 
   sendActions(
-    _worker: string,
+    worker: string,
     _token: number,
     actions: Parameters<WorkerClient['sendActions']>[2],
   ): Promise<Result<void, Failure>> {
-    if (this.fault === 'down') return Promise.resolve(failUnsent());
+    if (this.isDown(worker)) return Promise.resolve(failUnsent());
     for (const { taskId, action } of actions) {
       if (action !== 'throttle' && this.tasks.get(taskId) === null) {
         this.tasks.set(taskId, action === 'stop' ? 'stopped' : 'checkpointed');
@@ -94,8 +93,12 @@
     return Promise.resolve(Result.ok(undefined));
   }
 
-  readReport(): Promise<Result<WorkerReport, Failure>> {
-    return Promise.resolve(this.fault === 'down' ? failUnsent() : Result.ok(this.createReport()));
+  readReport(worker: string): Promise<Result<WorkerReport, Failure>> {
+    return Promise.resolve(this.isDown(worker) ? failUnsent() : Result.ok(this.createReport()));
+  }
+
+  private isDown(worker: string): boolean {
+    return this.fault === 'down' || this.unreachableAddresses.has(worker);
   }
 
   private createReport(): WorkerReport {
--- a/packages/placement/src/placement-scheduled.test.ts
+++ b/packages/placement/src/placement-scheduled.test.ts
@@ -108,3 +108,30 @@
   const starts = list(decideAt(placement, START_AT_MS + 5_000), 'start');
   expect([...starts].sort()).toEqual(['w0', 'w1']);
 });
+
+// Guards against an exception, and against a second run of a task that may not be repeated, when a run ends that the
+// placement did not start: a predecessor did, or the owner while it could not plan.
+test('a scheduled job whose armed task was started elsewhere ends with the outcome of that run', () => {
+  const outcomes = { completed: 'completed', failed: 'failed', lapsed: 'unknown' } as const;
+  for (const [outcome, expected] of Object.entries(outcomes)) {
+    const placement = createPlacement(['w0', 'w1']);
+    const [group] = createScheduledSpec().groups;
+    const groups = group === undefined ? [] : [{ ...group, count: 1 }];
+    placement.submit('p:1', createScheduledSpec({ groups }), 0, 0);
+    const [arm] = decideAt(placement, START_AT_MS - 5_000);
+    const taskId = arm?.type === 'arm' ? arm.taskId : '';
+    const atMs = START_AT_MS + 500;
+    const end = placement.taskEnded(taskId, outcome as keyof typeof outcomes, atMs, atMs);
+    expect(end?.outcome).toEqual(expected);
+    expect(decideAt(placement, START_AT_MS + 1_000)).toEqual([]);
+  }
+});
+
+// Guards against an exception in the owner, and against a task that is not placed again.
+test('a scheduled job whose armed task was refused by its worker is placed again', () => {
+  const placement = createPlacement(['w0', 'w1']);
+  placement.submit('p:1', createScheduledSpec(), 0, 0);
+  const [arm] = decideAt(placement, START_AT_MS - 5_000);
+  expect(placement.taskRefused(arm?.type === 'arm' ? arm.taskId : '', START_AT_MS)).toEqual(null);
+  expect(list(decideAt(placement, START_AT_MS + 100), 'start').length).toEqual(2);
+});
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -190,7 +190,10 @@
     return task === undefined ? null : taskEvents.recordRefusal(this.partition, task, nowMs);
   }
 
-  /** Records that the task has certainly ended. Repeated calls have no effect. */
+  /**
+   * Records that a run of the task has certainly ended. The run of an armed task may have started without a
+   * decision of this placement. Repeated calls have no effect.
+   */
   taskEnded(
     taskId: string,
     outcome: TaskOutcome,
@@ -199,7 +202,7 @@
     progressMs = 0,
   ): JobEnd | null {
     const task = this.partition.tasks.get(taskId);
-    if (task === undefined || task.state === 'armed') return null;
+    if (task === undefined) return null;
     task.progressMs = Math.max(task.progressMs, progressMs);
     return taskEvents.recordEnd(this.partition, task, outcome, nowMs, wallMs);
   }
--- a/packages/placement/src/task-events.ts
+++ b/packages/placement/src/task-events.ts
@@ -77,7 +77,24 @@
   task.job.failedWorkers.clear();
 }
 
-/** Makes an armed task whose worker was removed wait to be armed elsewhere; it never ran. */
+/**
+ * Marks an armed task as started that was started without a decision of this placement: by a predecessor, or by
+ * the owner while it could not plan.
+ */
+function markArmedStarted(
+  partition: PartitionState,
+  task: TaskRecord,
+  nowMs: number,
+  wallMs: number,
+): void {
+  const { job, worker } = task;
+  if (task.state !== 'armed' || worker === null) return;
+  if (job.state === 'armed') job.state = lifecycles.job.step(job.state, 'disarm');
+  const ranMs = Math.max(0, wallMs - (job.spec.startAtMs ?? wallMs));
+  partition.markStarted(task, worker, nowMs - ranMs);
+}
+
+/** Makes an armed task that certainly did not start wait to be armed again. */
 function disarmTask(partition: PartitionState, task: TaskRecord): null {
   const job = task.job;
   task.state = lifecycles.task.step(task.state, 'disarm');
@@ -128,6 +145,7 @@
     nowMs: number,
     wallMs: number,
   ): JobEnd | null {
+    markArmedStarted(partition, task, nowMs, wallMs);
     const job = task.job;
     const worker = task.worker;
     const ranMs = nowMs - task.startedAtMs;
@@ -209,7 +227,9 @@
 
   /** Applies a start that the worker certainly did not carry out. */
   recordRefusal(partition: PartitionState, task: TaskRecord, nowMs: number): JobEnd | null {
+    const wasArmed = task.state === 'armed';
     taskEvents.releaseWorker(partition, task);
+    if (wasArmed) return disarmTask(partition, task);
     if (task.job.state === 'stopping') {
       task.state = lifecycles.task.step(task.state, 'end');
       return endJobIfDone(partition, task, nowMs, 0);
