Do not start an armed task in another incarnation of its worker

A scheduled job that may not be repeated could run twice: an owner that held at the start time (log unreachable) started its armed task, and after it and the worker had both restarted the next owner started the task again.

Cause: the start was sent to whichever incarnation of the worker answered, and that one does not know the tasks of its predecessors. An armed task whose start may have been sent to an earlier incarnation, by this owner or by one before it, has now lapsed, and a job that may not be repeated ends as unknown, as the design page says for the loss of owner and worker. Ahead of the start time no owner can have started it: when the worker has restarted or its leases have expired, the task is recorded as refused and armed again. "Ahead" is one minute, which wall clocks are now assumed to differ by at most. A start that was certainly not sent counts as not sent to any incarnation.

--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -39,6 +39,12 @@
  */
 const IDLE_ROUND_MS = 250;
 
+/**
+ * Largest difference between the wall clocks of two owners. An armed task has not been started by any of them
+ * until this long before its start time.
+ */
+const MAX_CLOCK_DIFFERENCE_MS = 60_000;
+
 const NO_RESOURCES = { millicores: 0, memoryMib: 0, accelerators: {} };
 
 /**
@@ -476,7 +482,12 @@
     const session = this.fleet.find(address);
     const reportedIds = new Set(report.tasks.map((task) => task.taskId));
     for (const task of this.tasks.listByWorker(address)) {
+      const hasRestarted =
+        task.workerIncarnation !== null &&
+        task.workerIncarnation !== '' &&
+        task.workerIncarnation !== report.incarnation;
       if (reportedIds.has(task.taskId)) session?.addTask(task.taskId);
+      else if (hasRestarted && this.isArmedAhead(task.taskId)) this.refuseStart(task.taskId);
       else if (task.state === 'running') this.endTask(task.taskId, 'lapsed', 0);
       else if (clock.monotonicMs() > task.startableUntilMs) {
         this.settleUnlistedStart(task.taskId, report.incarnation);
@@ -497,16 +508,22 @@
    * because its deadline has passed or it carries the token of a predecessor.
    */
   private settleUnlistedStart(taskId: string, incarnation: string): void {
-    if (this.isBeforeStartTime(taskId)) return;
+    if (this.isArmedFor(taskId, 0)) return;
+    const sentTo = this.tasks.find(taskId)?.workerIncarnation;
     // Another incarnation of the worker does not know which tasks the assigned incarnation started.
-    if (this.tasks.find(taskId)?.workerIncarnation === incarnation) this.refuseStart(taskId);
+    if (sentTo === null || sentTo === incarnation) this.refuseStart(taskId);
     else this.endTask(taskId, 'lapsed', 0);
   }
 
-  /** True when the task is armed and its start time has not come, so that no owner has started it. */
-  private isBeforeStartTime(taskId: string): boolean {
+  /** True when the task is armed and no owner has started it, by the wall clocks of all of them. */
+  private isArmedAhead(taskId: string): boolean {
+    return this.isArmedFor(taskId, MAX_CLOCK_DIFFERENCE_MS);
+  }
+
+  /** True when the task is armed and its start time is more than `aheadMs` ahead. */
+  private isArmedFor(taskId: string, aheadMs: number): boolean {
     const armed = this.options.ledger.state().armed.get(taskId);
-    return armed !== undefined && (armed.startAtMs ?? 0) > this.options.clock.wallMs();
+    return armed !== undefined && (armed.startAtMs ?? 0) > this.options.clock.wallMs() + aheadMs;
   }
 
   private onReport(address: string, report: WorkerReport): void {
@@ -537,7 +554,7 @@
       tasks: this.tasks.listByWorker(address).length,
     });
     for (const { taskId } of this.tasks.listByWorker(address)) {
-      if (this.isBeforeStartTime(taskId)) this.refuseStart(taskId);
+      if (this.isArmedAhead(taskId)) this.refuseStart(taskId);
       else this.endTask(taskId, 'lapsed', 0);
     }
     this.removeIfEmpty(address);
--- a/packages/partition-owner/src/task-starter.ts
+++ b/packages/partition-owner/src/task-starter.ts
@@ -117,11 +117,29 @@
     return { type: 'task-assigned', jobId, taskId, group, worker, workerIncarnation, atMs };
   }
 
-  private async sendStarts(worker: string, starts: readonly StartDecision[]): Promise<void> {
-    const { clock, tasks, fleet, taskLeaseMs, startDeadlineMs, ledger } = this.options;
+  /**
+   * True when the start may have been sent to an earlier incarnation of its worker. The current one does not know
+   * the task and would run it again.
+   */
+  private hasLapsed(taskId: string, worker: string): boolean {
+    const { fleet, tasks } = this.options;
+    const sentTo = tasks.find(taskId)?.workerIncarnation ?? '';
+    const isCurrentKnown = fleet.find(worker)?.isReady === true;
+    return isCurrentKnown && sentTo !== '' && sentTo !== this.findIncarnation(worker);
+  }
+
+  private async sendStarts(worker: string, decided: readonly StartDecision[]): Promise<void> {
+    const { clock, tasks, fleet, taskLeaseMs, startDeadlineMs, ledger, onLapsed } = this.options;
+    const lapsed = decided.filter(({ taskId }) => this.hasLapsed(taskId, worker));
+    for (const { taskId } of lapsed) onLapsed(taskId);
+    const starts = decided.filter((start) => !lapsed.includes(start));
+    if (starts.length === 0) return;
     const startableUntilMs = clock.monotonicMs() + startDeadlineMs;
-    const workerIncarnation = this.findIncarnation(worker);
+    const firstSends = new Set<string>();
     for (const { taskId, jobId } of starts) {
+      const sentTo = tasks.find(taskId)?.workerIncarnation ?? null;
+      if (sentTo === null) firstSends.add(taskId);
+      const workerIncarnation = sentTo ?? this.findIncarnation(worker);
       tasks.add({ taskId, jobId, worker, workerIncarnation, state: 'starting', startableUntilMs });
     }
     const session = fleet.find(worker);
@@ -138,7 +156,11 @@
     );
     if (this.options.isStopped()) return;
     if (results === undefined || (results.isErr && certainlyDidNotRun(results.error))) {
-      for (const start of starts) this.settleUnsent(start);
+      for (const start of starts) {
+        const task = tasks.find(start.taskId);
+        if (task !== undefined && firstSends.has(start.taskId)) task.workerIncarnation = null;
+        this.settleUnsent(start);
+      }
       return;
     }
     if (results.isErr) {
--- a/packages/partition-owner/src/task-table.ts
+++ b/packages/partition-owner/src/task-table.ts
@@ -3,8 +3,11 @@
   taskId: string;
   jobId: string;
   worker: string;
-  /** Incarnation of the worker when the task was assigned. */
-  workerIncarnation: string;
+  /**
+   * Incarnation of the worker when the task was assigned; empty when the journal has none, null when no owner can
+   * have sent the start.
+   */
+  workerIncarnation: string | null;
   /** `starting` until the worker confirmed that the task runs. */
   state: 'starting' | 'running';
   /** Monotonic time after which the worker refuses the start. */
--- a/packages/placement/src/task-events.ts
+++ b/packages/placement/src/task-events.ts
@@ -94,7 +94,7 @@
   partition.markStarted(task, worker, nowMs - ranMs);
 }
 
-/** Makes an armed task that certainly did not start wait to be armed again. */
+/** Makes an armed task wait to be armed again. */
 function disarmTask(partition: PartitionState, task: TaskRecord): null {
   const job = task.job;
   task.state = lifecycles.task.step(task.state, 'disarm');
@@ -145,6 +145,11 @@
     nowMs: number,
     wallMs: number,
   ): JobEnd | null {
+    const isBeforeStartTime = wallMs < (task.job.spec.startAtMs ?? 0);
+    if (task.state === 'armed' && outcome === 'lapsed' && isBeforeStartTime && mayRunAgain(task)) {
+      taskEvents.releaseWorker(partition, task);
+      return disarmTask(partition, task);
+    }
     markArmedStarted(partition, task, nowMs, wallMs);
     const job = task.job;
     const worker = task.worker;
