Report a job as unknown to operators only when the replica is current

Cause: the answer was read from the replica whatever its age.

Evidence: found with the built program without a store.

--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -493,6 +493,7 @@
     return {
       state: () => (this.isHoldingReplica ? this.replica.state : undefined),
       replicaAgeMs: () => this.replica.ageMs(),
+      sync: (timeoutMs) => this.replica.sync(timeoutMs),
       findOwner: () => this.replica.state.claim,
       explain: term === undefined ? undefined : (jobId) => term.explainJob(jobId),
     };
