--- a/packages/bench/src/soak/soak-action.ts
+++ b/packages/bench/src/soak/soak-action.ts
@@ -8,8 +8,14 @@
   | { type: 'stop'; process: number }
   /** SIGSTOP, and SIGCONT at the end. */
   | { type: 'pause'; process: number }
-  /** A fault of the log of the simulated platform: `on` sets it and `off` ends it. */
-  | { type: 'log'; fault: string; on: unknown; off: unknown; isOutage: boolean }
+  /** A fault of the simulated platform: `on` sets it and `off` ends it. */
+  | {
+      type: 'platform';
+      target: 'log' | 'vm-list' | 'workers' | 'runners';
+      fault: string;
+      on: unknown;
+      off: unknown;
+    }
   | {
       type: 'link';
       from: number | 'callers';
--- a/packages/bench/src/soak/step-runner.ts
+++ b/packages/bench/src/soak/step-runner.ts
@@ -63,8 +63,8 @@
         return this.beginStop(action.process);
       case 'pause':
         return this.beginPause(action.process);
-      case 'log':
-        return this.beginLogFault(action);
+      case 'platform':
+        return this.beginPlatformFault(action);
       case 'link':
         return this.beginLinkChange(action);
       case 'publish':
@@ -109,13 +109,13 @@
     };
   }
 
-  private async beginLogFault(action: ActionOf<'log'>): Promise<() => Promise<void>> {
-    const { log } = this.cell.standIn.addresses();
-    const indexes = action.isOutage ? [...this.cell.processAddresses.keys()] : [];
-    await this.cell.setFault(log, action.fault, action.on);
+  private async beginPlatformFault(action: ActionOf<'platform'>): Promise<() => Promise<void>> {
+    const { target, fault, on, off } = action;
+    const indexes = fault === 'outage' ? [...this.cell.processAddresses.keys()] : [];
+    await this.cell.setFault(target, fault, on);
     for (const index of indexes) this.cell.losePlatform(index);
     return async () => {
-      await this.cell.setFault(log, action.fault, action.off);
+      await this.cell.setFault(target, fault, off);
       for (const index of indexes) this.cell.restorePlatform(index);
     };
   }
