Answer that the process is not ready while it has no declaration

Callers got not-found (404, not to be repeated) for declared services from a process that had just started, and not-found or not-ready, which both mean not run, for a key that had run through another process.

Cause: the HTTP server listens before the configuration is read, and a service that no declaration names was looked up in none. Without a declaration the owner of a key cannot be found, so nothing is known about earlier calls with the key.

Calls get not-ready now, and key-unreachable if they have a key, as when the owner does not answer. The new test failed before with not-found, not-found, not-ready, not-ready.

--- a/packages/entry/src/caller-service.ts
+++ b/packages/entry/src/caller-service.ts
@@ -155,14 +155,14 @@
   ): Promise<Result<{ jobId: string }, Failure>> {
     const { partitions, context } = this.options;
     const declaration = partitions.currentDeclaration();
-    if (declaration === undefined) return refuseUndeclared();
     const { spec, deadlineMs } = call;
+    if (declaration === undefined) return refuseUndeclared(spec.key);
     const failure = findSubmitFailure(declaration, spec, grant);
     if (failure !== undefined) return Result.err(failure);
     const { membership, settings, clock } = context;
     const layout = partitions.currentLayout();
     const partition = chooseSubmitPartition(spec.key, layout, membership, settings.dataCentre);
-    if (partition === undefined) return refuseUndeclared();
+    if (partition === undefined) return refuseUndeclared(spec.key);
     const deadlineAtMs = clock.monotonicMs() + deadlineMs;
     const fallback = chooseFallbackPartition(partition, layout, membership, settings.dataCentre);
     let submitted = await this.forwardSubmission(partition, {
@@ -193,7 +193,9 @@
     call: Call<'request'>,
     grant: TokenGrant | null,
   ): Promise<HttpResponse> {
-    const service = this.findService(call.service);
+    const declaration = this.options.partitions.currentDeclaration();
+    if (declaration === undefined) return writeResponse(refuseUndeclared(call.key ?? undefined));
+    const service = declaration.services.find(({ name }) => name === call.service);
     if (service === undefined) {
       return writeResponse(
         Result.err(Failure.create(ErrorKind.notFound, `no service "${call.service}" is declared`)),
@@ -241,7 +243,7 @@
   ): Promise<HttpResponse> {
     const { context, ownerCaller, partitions, requestCounter } = this.options;
     const partition = partitions.currentLayout().findByKey(key);
-    if (partition === undefined) return writeResponse(refuseUndeclared());
+    if (partition === undefined) return writeResponse(refuseUndeclared(key));
     const requestId = context.createId();
     const { name, user, team } = service;
     const { contentType, body } = call;
@@ -269,12 +271,6 @@
     }
     return writeResponse(Result.err(failure));
   }
-
-  private findService(name: string): ServiceDeclaration | undefined {
-    return this.options.partitions
-      .currentDeclaration()
-      ?.services.find((service) => service.name === name);
-  }
 }
 
 /** Reports a job of another user as not found, so that callers cannot find out which job ids exist. */
@@ -335,9 +331,11 @@
   });
 }
 
-function refuseUndeclared(): Result<never, Failure> {
+/** Without a declaration a process that has just started cannot find the owner of the key either. */
+function refuseUndeclared(key: string | undefined): Result<never, Failure> {
   const message = 'no declaration is in force; publish one with "acaciahoist apply"';
-  return Result.err(Failure.create(ErrorKind.notReady, message));
+  const failure = Failure.create(ErrorKind.notReady, message);
+  return Result.err(key === undefined ? failure : explainKeyedFailure(failure));
 }
 
 function createServiceResponse(
--- a/packages/entry/src/entry.test.ts
+++ b/packages/entry/src/entry.test.ts
@@ -86,6 +86,27 @@
   expect(startedTasks.length).toEqual(2);
 });
 
+// Guards against callers that give up work, or run it again, because a process that has just started and has no
+// declaration yet answers "not found", or "not run" for a key that may have run through another process.
+test('an entry process without a declaration answers that it is not ready, or that it did not look up the key', async (context) => {
+  const cell = await EmbeddedCell.create({
+    dataCentres: { 'dc-a': 1 },
+    standIn: { workers: { count: 1 }, runners: { count: 1, services: ['sealing'] } },
+    users: ['u'],
+  });
+  context.after(() => cell.stop());
+  const keyHeader = { 'idempotency-key': 'k1' };
+  const job = createBatchJob(200);
+  const answers = [
+    await cell.call(0, 'POST', '/services/sealing', 'seal'),
+    await cell.call(0, 'POST', '/services/sealing', 'seal', keyHeader),
+    await cell.call(0, 'POST', '/jobs', job),
+    await cell.call(0, 'POST', '/jobs', { ...job, key: 'k2' }),
+  ];
+  const kinds = answers.map(({ body }) => (body as { error: { kind: string } }).error.kind);
+  expect(kinds).toEqual(['not-ready', 'key-unreachable', 'not-ready', 'key-unreachable']);
+});
+
 // Guards against a process that becomes ready only at the next publication because the log was unavailable at
 // its start and no peer has a configuration.
 test('an entry process that starts during an outage of the log becomes ready when the log answers', async (context) => {
