Accept all waiting connections before the HTTP server closes its socket

Cause: the stop waited for three turns of the event loop, and the event loop accepts one connection in a turn.

Fix: the stop waits until no connection was accepted for three turns, at most as many turns as connections are allowed.

--- a/packages/http-server/src/http-server.ts
+++ b/packages/http-server/src/http-server.ts
@@ -16,7 +16,7 @@
   onUnexpectedError: (message: string) => void;
 }
 
-/** Turns of the event loop in which a connection is accepted and the request that was sent on it is read. */
+/** Turns of the event loop after which a request that was sent on an accepted connection has been read. */
 const RECEIVE_TURNS = 3;
 
 /** HTTP server for callers and operators, with limits on requests and connections and a planned stop. */
@@ -89,13 +89,22 @@
   }
 
   /**
-   * Lets the event loop accept the connections and read the requests that have already arrived. A connection
-   * whose request has not been read counts as idle, and closing it would reset it.
+   * Lets the event loop accept the connections and read the requests that have already arrived; it accepts one
+   * connection in a turn. A connection whose request has not been read counts as idle, and closing it would
+   * reset it.
    */
   private async readReceivedRequests(): Promise<void> {
-    for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
+    let remainingTurns = RECEIVE_TURNS;
+    const restart = (): void => {
+      remainingTurns = RECEIVE_TURNS;
+    };
+    this.server.on('connection', restart);
+    // The limit ends the wait while new callers keep arriving.
+    for (let turn = 0; turn < this.options.maxConnections && remainingTurns > 0; turn += 1) {
+      remainingTurns -= 1;
       await new Promise((resolve) => setImmediate(resolve));
     }
+    this.server.off('connection', restart);
   }
 
   private async answerRequest(
