--- a/packages/history-checker/src/check-stops.ts
+++ b/packages/history-checker/src/check-stops.ts
@@ -9,6 +9,7 @@
 interface WorkInterval {
   began: EventOf<'request-asked'> | EventOf<'runner-began'>;
   endpoint: string;
+  ended: HistoryEvent | undefined;
   endedAtMs: number;
   /** True if it ended without an answer or, at a runner, before the work was done. */
   isInterrupted: boolean;
@@ -31,12 +32,14 @@
     const stop = openStops.get(event.endpoint);
     openStops.delete(event.endpoint);
     if (stop === undefined) continue;
-    for (const { began, endedAtMs, isInterrupted } of intervalsByEndpoint.get(event.endpoint) ??
-      []) {
+    for (const { began, ended, endedAtMs, isInterrupted } of intervalsByEndpoint.get(
+      event.endpoint,
+    ) ?? []) {
       const overlapsStop = began.atMs <= event.atMs && endedAtMs >= stop.atMs;
       if (!overlapsStop || (endedAtMs <= event.atMs && !isInterrupted)) continue;
       const message = `The planned stop of ${event.endpoint} interrupted request ${began.requestId}.`;
-      violations.push({ promise: 7, message, events: [began, stop, event] });
+      const evidence = ended === undefined ? [began, stop, event] : [began, ended, stop, event];
+      violations.push({ promise: 7, message, events: evidence });
     }
   }
   return violations;
@@ -53,7 +56,7 @@
     const end = answered.get(began.requestId)?.[0];
     const isInterrupted = end?.answer.type === 'closed';
     const endedAtMs = end?.atMs ?? Number.POSITIVE_INFINITY;
-    return [{ began, endpoint: began.process, endedAtMs, isInterrupted }];
+    return [{ began, ended: end, endpoint: began.process, endedAtMs, isInterrupted }];
   });
 }
 
@@ -66,6 +69,7 @@
         runner === began.runner && incarnation === began.incarnation && atMs >= began.atMs,
     );
     const endedAtMs = end?.atMs ?? Number.POSITIVE_INFINITY;
-    return { began, endpoint: began.runner, endedAtMs, isInterrupted: end?.replyDigest === null };
+    const isInterrupted = end?.replyDigest === null;
+    return { began, ended: end, endpoint: began.runner, endedAtMs, isInterrupted };
   });
 }
