End a planned stop although callers left connections without a whole request

A planned stop did not end: the process was still 'stopping' 30 s later, when the soak killed it, with its partitions released to nobody.

Cause: Node closes idle connections when a server is closed, but counts a connection on which no request or only a part of one has arrived as active, and from the close on it no longer enforces the time limit for requests. A caller that is gone leaves such a connection for good.

After the close, a connection that receives nothing more is closed: after 1 s if nothing ever arrived on it, and after the time limit for requests otherwise.

The new tests wait for ever without the change (0, 26 and 48 bytes sent) and end within 1.1 s with it.

--- a/packages/http-server/src/http-server.ts
+++ b/packages/http-server/src/http-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { HttpResponse } from '@acaciahoist/types/http-response';
 import type { HttpRequest } from '@acaciahoist/types/http-request';
 
@@ -19,6 +20,9 @@
 /** Turns of the event loop in which a connection is accepted and the request that was sent on it is read. */
 const RECEIVE_TURNS = 3;
 
+/** Time after the stop for the first byte on a connection; longer than a round trip between data centres. */
+const UNUSED_CONNECTION_MS = 1_000;
+
 /** HTTP server for callers and operators, with limits on requests and connections and a planned stop. */
 export class HttpServer {
   static create(options: Options): HttpServer {
@@ -28,6 +32,9 @@
   private readonly server: Server;
   private inFlight = 0;
   private isClosing = false;
+  private readonly sockets = new Set<Socket>();
+  /** Connections on which a whole request was received and is being answered. */
+  private readonly answeredSockets = new Set<Socket>();
 
   private constructor(private readonly options: Options) {
     this.server = createServer(
@@ -40,6 +47,10 @@
       },
     );
     this.server.maxConnections = options.maxConnections;
+    this.server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
     });
@@ -73,6 +84,7 @@
         resolve();
       });
       this.server.closeIdleConnections();
+      this.limitUnfinishedRequests();
     });
   }
 
@@ -98,13 +110,31 @@
     }
   }
 
+  /**
+   * Closes the connections on which no request, or only a part of one, has arrived and nothing more arrives:
+   * Node does not count them as idle, and after the close of a server it enforces no limits for them.
+   */
+  private limitUnfinishedRequests(): void {
+    for (const socket of this.sockets) {
+      if (this.answeredSockets.has(socket)) continue;
+      const { requestTimeoutMs } = this.options;
+      socket.setTimeout(socket.bytesRead === 0 ? UNUSED_CONNECTION_MS : requestTimeoutMs, () => {
+        if (!this.answeredSockets.has(socket)) socket.destroy();
+      });
+    }
+  }
+
   private async answerRequest(
     request: IncomingMessage,
     serverResponse: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
+    const { socket } = request;
     try {
       const body = await this.readBody(request);
+      this.answeredSockets.add(socket);
+      // Node destroys a connection whose time limit passes, also while its request is being answered.
+      if (this.isClosing) socket.setTimeout(0);
       if (body === undefined) {
         this.sendResponse(
           serverResponse,
@@ -128,6 +158,7 @@
       this.sendResponse(serverResponse, createTextResponse(500, 'unexpected error'));
     } finally {
       this.inFlight -= 1;
+      this.answeredSockets.delete(socket);
     }
   }
 
--- a/packages/http-server/src/planned-stop.test.ts
+++ b/packages/http-server/src/planned-stop.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net';
 import { test } from 'node:test';
 import { Worker } from 'node:worker_threads';
 import { expect } from 'earl';
@@ -58,3 +59,38 @@
   await stopped;
   await client.terminate();
 });
+
+// Guards against a planned stop that never ends, because a caller that is gone has left a connection on which it
+// sent nothing or a part of a request: after the close of a server, Node sets no limits for such connections.
+for (const sent of [
+  '',
+  'POST / HTTP/1.1\r\nhost: a\r\n',
+  'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx',
+]) {
+  test(
+    `the HTTP server ends its stop when a caller has sent ${sent.length} bytes and remains silent`,
+    { timeout: 10_000 },
+    async (context) => {
+      const server = HttpServer.create({
+        listen: '127.0.0.1:0',
+        maxBodyBytes: 100,
+        maxConnections: 10,
+        requestTimeoutMs: 300,
+        handle: () => Promise.resolve({ status: 200, headers: {}, body: new Uint8Array() }),
+        onUnexpectedError: () => undefined,
+      });
+      await server.start();
+      const silent = connect(Number(server.address().split(':')[1]), '127.0.0.1');
+      const answered = connect(Number(server.address().split(':')[1]), '127.0.0.1');
+      context.after(() => {
+        for (const socket of [silent, answered]) socket.destroy();
+      });
+      silent.on('error', () => undefined);
+      silent.write(sent);
+      await new Promise((resolve) => silent.once('connect', resolve));
+      answered.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+      await new Promise((resolve) => answered.once('data', resolve));
+      await server.stop();
+    },
+  );
+}
