Accept all connections that wait before a planned stop closes the listener

Callers saw: when a process was suspended or busy during the drain delay of its planned stop, their requests on new connections were closed without an answer (58 in one stop, 16 in another).

The stop now waits until three turns in a row bring no connection and no request, at most 1,100 turns: the system keeps 511 connections.

--- a/packages/http-server/src/http-server.ts
+++ b/packages/http-server/src/http-server.ts
@@ -17,8 +17,10 @@
   onUnexpectedError: (message: string) => void;
 }
 
-/** Turns of the event loop in which a connection is accepted and the request that was sent on it is read. */
-const RECEIVE_TURNS = 3;
+/** Turns of the event loop without an arrival after which nothing waits to be accepted or read. */
+const QUIET_TURNS = 3;
+/** Node lets the system keep 511 connections; each takes a turn to be accepted, and one to be read. */
+const MAX_RECEIVE_TURNS = 1_100;
 
 /** Time after the stop for the first byte on a connection; longer than a round trip between data centres. */
 const UNUSED_CONNECTION_MS = 1_000;
@@ -32,6 +34,8 @@
   private readonly server: Server;
   private inFlight = 0;
   private isClosing = false;
+  /** Connections and requests that were received so far. */
+  private arrivals = 0;
   private readonly sockets = new Set<Socket>();
   /** Connections on which a whole request was received and is being answered. */
   private readonly answeredSockets = new Set<Socket>();
@@ -48,6 +52,7 @@
     );
     this.server.maxConnections = options.maxConnections;
     this.server.on('connection', (socket) => {
+      this.arrivals += 1;
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
@@ -105,8 +110,11 @@
    * whose request has not been read counts as idle, and closing it would reset it.
    */
   private async readReceivedRequests(): Promise<void> {
-    for (let turn = 0; turn < RECEIVE_TURNS; turn += 1) {
+    let quietTurns = 0;
+    for (let turn = 0; turn < MAX_RECEIVE_TURNS && quietTurns < QUIET_TURNS; turn += 1) {
+      const arrivalsBefore = this.arrivals;
       await new Promise((resolve) => setImmediate(resolve));
+      quietTurns = this.arrivals === arrivalsBefore ? quietTurns + 1 : 0;
     }
   }
 
@@ -129,6 +137,7 @@
     serverResponse: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
+    this.arrivals += 1;
     const { socket } = request;
     try {
       const body = await this.readBody(request);
--- a/packages/http-server/src/planned-stop.test.ts
+++ b/packages/http-server/src/planned-stop.test.ts
@@ -7,10 +7,12 @@
 /** Time for which the event loop of the server is blocked, ms. */
 const BLOCK_MS = 300;
 const OK = 'HTTP/1.1 200 OK';
+/** Connections that wait to be accepted; more than an event loop accepts in a few turns, one in each. */
+const NEW_CONNECTIONS = 40;
 
 /**
  * A client in a thread of its own. Sends a request on a connection and reports its response; then sends, on
- * this connection and on a new one, a request each while the server is blocked, and reports both status lines.
+ * this connection and on new ones, a request each while the server is blocked, and reports all status lines.
  */
 const CLIENT = `
 const { parentPort, workerData } = require('node:worker_threads');
@@ -27,7 +29,8 @@
 const used = connect(workerData, '127.0.0.1');
 send(used).then((answer) => parentPort.postMessage(answer));
 parentPort.once('message', async () => {
-  parentPort.postMessage(await Promise.all([send(used), send(connect(workerData, '127.0.0.1'))]));
+  const sockets = Array.from({ length: ${NEW_CONNECTIONS} }, () => connect(workerData, '127.0.0.1'));
+  parentPort.postMessage(await Promise.all([used, ...sockets].map(send)));
 });
 `;
 
@@ -41,7 +44,7 @@
   const server = HttpServer.create({
     listen: '127.0.0.1:0',
     maxBodyBytes: 100,
-    maxConnections: 10,
+    maxConnections: 2 * NEW_CONNECTIONS,
     requestTimeoutMs: 5_000,
     handle: () => Promise.resolve({ status: 200, headers: {}, body: new Uint8Array() }),
     onUnexpectedError: () => undefined,
@@ -55,7 +58,7 @@
   // The stop follows in the same turn of the event loop, as after a timer that fires late.
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCK_MS);
   const stopped = server.stop();
-  expect(await answers).toEqual([OK, OK]);
+  expect(await answers).toEqual(Array.from({ length: 1 + NEW_CONNECTIONS }, () => OK));
   await stopped;
   await client.terminate();
 });
