--- a/packages/http-server/src/http-server.ts
+++ b/packages/http-server/src/http-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { HttpResponse } from '@acaciahoist/types/http-response';
 import type { HttpRequest } from '@acaciahoist/types/http-request';
 
@@ -16,8 +17,13 @@
   onUnexpectedError: (message: string) => void;
 }
 
-/** Turns of the event loop after which a request that was sent on an accepted connection has been read. */
-const RECEIVE_TURNS = 3;
+/** Turns of the event loop without an arrival after which nothing waits to be accepted or read. */
+const QUIET_TURNS = 3;
+/** Node lets the system keep 511 connections; each takes a turn to be accepted, and one to be read. */
+const MAX_RECEIVE_TURNS = 1_100;
+
+/** Time after the stop for the first byte on a connection; longer than a round trip between data centres. */
+const UNUSED_CONNECTION_MS = 1_000;
 
 /** HTTP server for callers and operators, with limits on requests and connections and a planned stop. */
 export class HttpServer {
@@ -28,6 +34,11 @@
   private readonly server: Server;
   private inFlight = 0;
   private isClosing = false;
+  /** Connections and requests that were received so far. */
+  private arrivals = 0;
+  private readonly sockets = new Set<Socket>();
+  /** Connections on which a whole request was received and is being answered. */
+  private readonly answeredSockets = new Set<Socket>();
 
   private constructor(private readonly options: Options) {
     this.server = createServer(
@@ -40,6 +51,11 @@
       },
     );
     this.server.maxConnections = options.maxConnections;
+    this.server.on('connection', (socket) => {
+      this.arrivals += 1;
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     this.server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
     });
@@ -73,6 +89,7 @@
         resolve();
       });
       this.server.closeIdleConnections();
+      this.limitUnfinishedRequests();
     });
   }
 
@@ -89,22 +106,30 @@
   }
 
   /**
-   * Lets the event loop accept the connections and read the requests that have already arrived; it accepts one
-   * connection in a turn. A connection whose request has not been read counts as idle, and closing it would
-   * reset it.
+   * Lets the event loop accept the connections and read the requests that have already arrived. A connection
+   * whose request has not been read counts as idle, and closing it would reset it.
    */
   private async readReceivedRequests(): Promise<void> {
-    let remainingTurns = RECEIVE_TURNS;
-    const restart = (): void => {
-      remainingTurns = RECEIVE_TURNS;
-    };
-    this.server.on('connection', restart);
-    // The limit ends the wait while new callers keep arriving.
-    for (let turn = 0; turn < this.options.maxConnections && remainingTurns > 0; turn += 1) {
-      remainingTurns -= 1;
+    let quietTurns = 0;
+    for (let turn = 0; turn < MAX_RECEIVE_TURNS && quietTurns < QUIET_TURNS; turn += 1) {
+      const arrivalsBefore = this.arrivals;
       await new Promise((resolve) => setImmediate(resolve));
+      quietTurns = this.arrivals === arrivalsBefore ? quietTurns + 1 : 0;
+    }
+  }
+
+  /**
+   * Closes the connections on which no request, or only a part of one, has arrived and nothing more arrives:
+   * Node does not count them as idle, and after the close of a server it enforces no limits for them.
+   */
+  private limitUnfinishedRequests(): void {
+    for (const socket of this.sockets) {
+      if (this.answeredSockets.has(socket)) continue;
+      const { requestTimeoutMs } = this.options;
+      socket.setTimeout(socket.bytesRead === 0 ? UNUSED_CONNECTION_MS : requestTimeoutMs, () => {
+        if (!this.answeredSockets.has(socket)) socket.destroy();
+      });
     }
-    this.server.off('connection', restart);
   }
 
   private async answerRequest(
@@ -112,8 +137,13 @@
     serverResponse: ServerResponse,
   ): Promise<void> {
     this.inFlight += 1;
+    this.arrivals += 1;
+    const { socket } = request;
     try {
       const body = await this.readBody(request);
+      this.answeredSockets.add(socket);
+      // Node destroys a connection whose time limit passes, also while its request is being answered.
+      if (this.isClosing) socket.setTimeout(0);
       if (body === undefined) {
         this.sendResponse(
           serverResponse,
@@ -137,6 +167,7 @@
       this.sendResponse(serverResponse, createTextResponse(500, 'unexpected error'));
     } finally {
       this.inFlight -= 1;
+      this.answeredSockets.delete(socket);
     }
   }
 
