Start a restored armed task on time without the log

A scheduled job missed its start time when its owner had changed since it was armed and the log was unreachable at the start time: the new owner held and did not start the task before the log was back.

Cause: a restored armed task has an infinite time until which a fence call does not settle its start, and the owner took that for a start on its way. In the same way a start that certainly was not sent, because the worker was down, counted as on its way for 2 s, after which a reply to a fence call could end the task as refused, so that it missed its start time although the worker was back.

The owner may start the task, since it sends it only to the incarnation of the worker that the task was armed for, which knows whether a predecessor started it; in another incarnation the task has lapsed. A start that was not sent keeps the infinite time and is sent again in the next round. When the leases of a worker have expired and no start was sent to it, the task runs elsewhere in place of ending as unknown.

--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -442,3 +442,80 @@
   await advance(2_500);
   expect(findOutcome(jobId)).toEqual('completed');
 });
+
+// Guards against a scheduled job that misses its start time because the log is unavailable then and its owner has
+// changed since it was armed.
+test('the successor of a partition owner starts an armed task once at its start time without the log', async () => {
+  const predecessor = createOwner();
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  predecessor.owner.stop();
+  const successor = createOwner(clock, ledger, worker);
+  await successor.advance(1_000);
+  ledger.currentAuthority = 'holding';
+  await successor.advance(3_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  ledger.currentAuthority = 'leased';
+  await successor.advance(1_000);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await successor.advance(2_500);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
+
+// Guards against a second run by a successor that holds: its predecessor started the armed task without the log, and
+// the worker has restarted since.
+test('the successor of a partition owner that holds does not start an armed task in another incarnation', async () => {
+  const predecessor = createOwner();
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  predecessor.owner.stop();
+  worker.restart();
+  const successor = createOwner(clock, ledger, worker);
+  await successor.advance(5_000);
+  ledger.currentAuthority = 'leased';
+  await successor.advance(1_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('unknown');
+});
+
+// Guards against a scheduled job that misses its start time because its worker is back only after it, and against one
+// that ends as unknown although no start was sent.
+test('the partition owner that holds starts an armed task when its worker is back that was down at the start time', async () => {
+  for (const downMs of [3_000, 4_900, 6_000]) {
+    for (const hasSuccessor of [false, true]) {
+      const first = createOwner();
+      const { clock, ledger, worker } = first;
+      await first.submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+      await first.advance(7_000);
+      worker.unreachableAddresses.add(WORKER);
+      if (hasSuccessor) first.owner.stop();
+      const owner = hasSuccessor ? createOwner(clock, ledger, worker) : first;
+      ledger.currentAuthority = 'holding';
+      await owner.advance(downMs);
+      worker.unreachableAddresses.clear();
+      await owner.advance(3_000);
+      expect(worker.startedTaskIds.length).toEqual(1);
+    }
+  }
+});
+
+// Guards against a job that ends as unknown although no start was sent: its worker was lost before the start time.
+test('the partition owner runs a scheduled job elsewhere when its worker never returns and no start was sent', async () => {
+  const { clock, ledger, worker, owner, advance, submit, findOutcome } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(7_000);
+  expect([...ledger.state().armed.values()].map((task) => task.worker)).toEqual([WORKER]);
+  owner.setWorkers([createListedWorker(WORKER), createListedWorker('127.0.0.1:2')]);
+  worker.unreachableAddresses.add(WORKER);
+  await advance(30_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await advance(2_500);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
--- a/packages/partition-owner/src/partition-owner.ts
+++ b/packages/partition-owner/src/partition-owner.ts
@@ -553,8 +553,8 @@
       worker: address,
       tasks: this.tasks.listByWorker(address).length,
     });
-    for (const { taskId } of this.tasks.listByWorker(address)) {
-      if (this.isArmedAhead(taskId)) this.refuseStart(taskId);
+    for (const { taskId, workerIncarnation } of this.tasks.listByWorker(address)) {
+      if (workerIncarnation === null || this.isArmedAhead(taskId)) this.refuseStart(taskId);
       else this.endTask(taskId, 'lapsed', 0);
     }
     this.removeIfEmpty(address);
--- a/packages/partition-owner/src/task-starter.ts
+++ b/packages/partition-owner/src/task-starter.ts
@@ -85,9 +85,9 @@
       if (hasEnded(taskId, jobId)) continue;
       const job = state.jobs.get(jobId);
       const placedTask = tasks.find(taskId);
-      const isInProgress =
-        placedTask?.state === 'running' ||
-        (placedTask?.startableUntilMs ?? 0) > clock.monotonicMs();
+      const startableUntilMs = placedTask?.startableUntilMs ?? Infinity;
+      const isSent = startableUntilMs !== Infinity && startableUntilMs > clock.monotonicMs();
+      const isInProgress = placedTask?.state === 'running' || isSent;
       const mayStart = job?.cancelAtMs === null && !isInProgress;
       if (!mayStart || (startAtMs ?? 0) > clock.wallMs()) continue;
       const group = job.tasks.get(taskId)?.group ?? 0;
@@ -159,6 +159,8 @@
       for (const start of starts) {
         const task = tasks.find(start.taskId);
         if (task !== undefined && firstSends.has(start.taskId)) task.workerIncarnation = null;
+        // The start is still to be sent, so the reply to a fence call must not settle it.
+        if (task !== undefined && this.isArmed(start.taskId)) task.startableUntilMs = Infinity;
         this.settleUnsent(start);
       }
       return;
--- a/packages/partition-owner/src/task-table.ts
+++ b/packages/partition-owner/src/task-table.ts
@@ -10,7 +10,7 @@
   workerIncarnation: string | null;
   /** `starting` until the worker confirmed that the task runs. */
   state: 'starting' | 'running';
-  /** Monotonic time after which the worker refuses the start. */
+  /** Monotonic time after which the worker refuses the start; infinite while no start of an armed task is on its way. */
   startableUntilMs: number;
 }
 
