Extend the quarantine of slots by the difference of clock rates

After a failover the new owner could grant a slot while a request of its predecessor still used it, for up to 2% of the longest deadline and 250 ms.

Cause: the quarantine ended one longest deadline after the predecessor's lease or hold time, without the factor for clock rates and the margin for late messages with which a pool keeps the slots of its own grants, and which QuarantineTimes asks for. Both are now included.

The tests of entry and slot-pool pass.

--- a/packages/entry/src/owned-partition.ts
+++ b/packages/entry/src/owned-partition.ts
@@ -10,6 +10,7 @@
 import { SlotPool } from '@acaciahoist/slot-pool';
 import type { Declaration } from '@acaciahoist/types/declaration';
 import type { JournalEntry } from '@acaciahoist/types/journal-entry';
+import { computeQuarantineTimes } from './compute-quarantine-times.js';
 import type { EntryContext } from './entry-context.js';
 import type { PredecessorExpiry } from './predecessor-expiry.js';
 import { formatHolderName } from './format-holder-name.js';
@@ -135,10 +136,7 @@
       maxWaiting: { prompt: settings.promptQueueRequests, heavy: settings.heavyQueueRequests },
     });
     if (predecessorExpiry !== undefined) {
-      pool.startAfterFailover({
-        leaseGrantsEndAtMs: predecessorExpiry.leaseUntilMs + maxDeadlineMs,
-        holdGrantsEndAtMs: predecessorExpiry.holdUntilMs + maxDeadlineMs,
-      });
+      pool.startAfterFailover(computeQuarantineTimes(predecessorExpiry, maxDeadlineMs));
     }
     return pool;
   }
--- a/packages/slot-pool/src/quarantine-times.ts
+++ b/packages/slot-pool/src/quarantine-times.ts
@@ -9,7 +9,7 @@
   leaseGrantsEndAtMs: number;
   /**
    * From this time on no grant that a predecessor made while holding can be in use either: the end of
-   * its hold time plus the longest deadline. The latest such time when several predecessors may still be
+   * its hold time plus the longest deadline, extended in the same way. The latest such time when several predecessors may still be
    * holding.
    */
   holdGrantsEndAtMs: number;
--- a/packages/slot-pool/src/slot-pool.ts
+++ b/packages/slot-pool/src/slot-pool.ts
@@ -5,6 +5,7 @@
 import { Authority } from './authority.js';
 import { DRIFT_FACTOR } from './drift-factor.js';
 import type { QuarantineTimes } from './quarantine-times.js';
+import { GRANT_MARGIN_MS } from './grant-margin.js';
 import { GrantTable } from './grant-table.js';
 import type { SlotGrant } from './slot-grant.js';
 import { Lane } from './lane.js';
@@ -26,11 +27,6 @@
 
 /** Share of a runner's slots that heavy work may not use. */
 const PROMPT_RESERVED_SHARE = 1 / 8;
-/**
- * Time after the deadline of a grant until its slot is granted again. Covers late messages and timers, but not
- * a holder that is paused for longer.
- */
-const DEFAULT_MARGIN_MS = 250;
 const DEFAULT_MAX_WAITING = { prompt: 1_000, heavy: 1_000 };
 
 type GrantResult = Result<SlotGrant, Failure>;
@@ -60,7 +56,7 @@
     const isPrompt = options.isPrompt ?? (() => true);
     const reserved = slotsPerRunner > 1 ? Math.ceil(slotsPerRunner * PROMPT_RESERVED_SHARE) : 0;
     this.heldSlots = Math.floor((slotsPerRunner * heldSlotsPercent) / 100);
-    this.marginMs = options.marginMs ?? DEFAULT_MARGIN_MS;
+    this.marginMs = options.marginMs ?? GRANT_MARGIN_MS;
     this.runners = RunnerTable.create((services) => (services.some(isPrompt) ? reserved : 0));
     const maxWaiting = options.maxWaiting ?? DEFAULT_MAX_WAITING;
     this.admission = AdmissionController.create(
