Open one replacement of a silent peer connection

Cause: each unanswered call of a silent connection probes it, and each probe that is not answered opened a replacement, also while one was opening. The link keeps one, so that nothing closed the others.

--- a/packages/peer-socket/src/peer-client.test.ts
+++ b/packages/peer-socket/src/peer-client.test.ts
@@ -58,6 +58,10 @@
 interface Relay {
   address: string;
   freeze: () => void;
+  /** Delays the forwarding of connections that are opened from now on. */
+  delayConnections: (delayMs: number) => void;
+  /** Number of connections that are open and not frozen. */
+  countOpen: () => number;
   /** Number of connections that were opened so far. */
   countConnections: () => number;
 }
@@ -65,10 +69,16 @@
 /** Forwards TCP to `port`; `freeze` makes the open connections silent without closing them. */
 async function startRelay(port: number): Promise<Relay> {
   const socketPairs: [TcpSocket, TcpSocket][] = [];
+  const frozenSockets = new Set<TcpSocket>();
+  let connectionDelayMs = 0;
   const relay: Server = createServer((inbound) => {
     const outbound = connect(port, '127.0.0.1');
-    inbound.pipe(outbound);
-    outbound.pipe(inbound);
+    const forward = (): void => {
+      inbound.pipe(outbound);
+      outbound.pipe(inbound);
+    };
+    if (connectionDelayMs === 0) forward();
+    else clock.after(connectionDelayMs, forward);
     for (const socket of [inbound, outbound]) socket.on('error', () => undefined);
     socketPairs.push([inbound, outbound]);
   });
@@ -85,8 +95,14 @@
         outbound.unpipe(inbound);
         inbound.pause();
         outbound.pause();
+        frozenSockets.add(inbound);
       }
     },
+    delayConnections: (delayMs) => {
+      connectionDelayMs = delayMs;
+    },
+    countOpen: () =>
+      socketPairs.filter(([inbound]) => !inbound.destroyed && !frozenSockets.has(inbound)).length,
     countConnections: () => socketPairs.length,
   };
 }
@@ -163,3 +179,21 @@
   expect(reply.isErr && reply.error.kind).toEqual('owner-unreachable');
   expect(relay.countConnections()).toEqual(0);
 });
+
+// Guards against a process that never exits after its stop: while the replacement of a silent connection was opening,
+// further unanswered calls opened others, and only the last one was closed.
+test('the peer client opens one replacement of a silent connection and closes it when it stops', async () => {
+  const server = await startServer();
+  const relay = await startRelay(Number(server.address().split(':')[1]));
+  const client = createClient();
+  await client.call(relay.address, 'read-configuration', {}, 1_000);
+  relay.freeze();
+  relay.delayConnections(400);
+  for (let calls = 0; calls < 10; calls += 1)
+    await client.call(relay.address, 'read-configuration', {}, 50);
+  await new Promise<void>((resolve) => clock.after(AFTER_STOP_MS, resolve));
+  expect(relay.countOpen()).toEqual(1);
+  client.stop();
+  await new Promise<void>((resolve) => clock.after(AFTER_STOP_MS, resolve));
+  expect(relay.countOpen()).toEqual(0);
+});
--- a/packages/peer-socket/src/peer-link.ts
+++ b/packages/peer-socket/src/peer-link.ts
@@ -187,6 +187,9 @@
   private openReplacement(oldConnection: PeerConnection): void {
     // The connection of an outstanding probe also ends when the link stops.
     if (this.isStopped) return;
+    // The unanswered calls of a silent connection probe it again while its replacement is opening. Nothing would
+    // close the first of two replacements.
+    if (this.replacement !== undefined) return;
     this.machine.send({ type: 'PROBE_FAILED' });
     this.replacement = this.openConnection(() => {
       this.current = this.replacement;
