--- a/packages/peer-socket/src/peer-client.test.ts
+++ b/packages/peer-socket/src/peer-client.test.ts
@@ -60,6 +60,8 @@
   freeze: () => void;
   /** Accepts further connections without forwarding them; the returned function forwards them. */
   hold: () => () => void;
+  /** Number of connections that are open and not frozen. */
+  countOpen: () => number;
   /** Number of connections that were opened so far. */
   countConnections: () => number;
 }
@@ -67,6 +69,7 @@
 /** Forwards TCP to `port`; `freeze` makes the open connections silent without closing them. */
 async function startRelay(port: number): Promise<Relay> {
   const socketPairs: [TcpSocket, TcpSocket][] = [];
+  const frozenSockets = new Set<TcpSocket>();
   let held: (() => void)[] | undefined;
   const forward = (inbound: TcpSocket): void => {
     const outbound = connect(port, '127.0.0.1');
@@ -95,6 +98,7 @@
         outbound.unpipe(inbound);
         inbound.pause();
         outbound.pause();
+        frozenSockets.add(inbound);
       }
     },
     hold: () => {
@@ -104,6 +108,8 @@
         held = undefined;
       };
     },
+    countOpen: () =>
+      socketPairs.filter(([inbound]) => !inbound.destroyed && !frozenSockets.has(inbound)).length,
     countConnections: () => socketPairs.length,
   };
 }
@@ -201,3 +207,22 @@
   expect(reply.isErr && reply.error.kind).toEqual('owner-unreachable');
   expect(relay.countConnections()).toEqual(0);
 });
+
+// Guards against a process that never exits after its stop: while the replacement of a silent connection was opening,
+// further unanswered calls opened others, and only the last one was closed.
+test('the peer client opens one replacement of a silent connection and closes it when it stops', async () => {
+  const server = await startServer();
+  const relay = await startRelay(Number(server.address().split(':')[1]));
+  const client = createClient();
+  await client.call(relay.address, 'read-configuration', {}, 1_000);
+  relay.freeze();
+  const release = relay.hold();
+  for (let calls = 0; calls < 10; calls += 1)
+    await client.call(relay.address, 'read-configuration', {}, 50);
+  release();
+  await new Promise<void>((resolve) => clock.after(AFTER_STOP_MS, resolve));
+  expect(relay.countOpen()).toEqual(1);
+  client.stop();
+  await new Promise<void>((resolve) => clock.after(AFTER_STOP_MS, resolve));
+  expect(relay.countOpen()).toEqual(0);
+});
