--- a/packages/bench/src/recovery/entry-process.ts
+++ b/packages/bench/src/recovery/entry-process.ts
@@ -35,7 +35,7 @@
     const { bundle, settingsFile, preload } = options;
     const nodeArgs = preload === undefined ? [] : ['--import', preload.module];
     this.child = spawn(process.execPath, [...nodeArgs, bundle, 'entry', settingsFile], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', 'pipe', 'pipe', ...(preload === undefined ? [] : (['ipc'] as const))],
       env: { ...process.env, ...preload?.environment },
     });
     for (const stream of [this.child.stdout, this.child.stderr]) {
--- a/packages/bench/src/recovery/recovery-cell.ts
+++ b/packages/bench/src/recovery/recovery-cell.ts
@@ -82,6 +82,8 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'acaciahoist-recovery-'));
   private readonly agent = new Agent({ connections: 64 });
   private readySet = new Set<number>();
+  /** Time of the latest poll at which the process with the index was ready. */
+  private readonly readyAtMs = new Map<number, number>();
   /** Number of faults in force that cut the process at this index off from the platform. */
   private readonly lossCounts = new Map<number, number>();
   private readonly pauseCancels = new Set<() => void>();
@@ -193,6 +195,12 @@
     return [...this.readySet];
   }
 
+  /** Indexes of the processes that were ready at a poll in the last `ms`: those of a slower load balancer. */
+  readyWithin(ms: number): readonly number[] {
+    const sinceMs = this.clock.monotonicMs() - ms;
+    return [...this.readyAtMs].filter(([, atMs]) => atMs >= sinceMs).map(([index]) => index);
+  }
+
   /** Index of the owner by partition, as the running processes report in `/health`. */
   async owners(): Promise<ReadonlyMap<string, number>> {
     return (await this.readOwners()).owners;
@@ -384,7 +392,9 @@
       const checked = [...this.processAddresses.keys()].map(async (index) => {
         if (this.processes.get(index)?.running !== true) return [];
         const answer = await this.call(index, 'GET', '/ready', undefined, {}, 200);
-        return answer.type === 'reply' ? [index] : [];
+        if (answer.type !== 'reply') return [];
+        this.readyAtMs.set(index, this.clock.monotonicMs());
+        return [index];
       });
       this.readySet = new Set((await Promise.all(checked)).flat());
       await this.pause(POLL_MS);
--- a/packages/bench/src/soak/redirect-main.ts
+++ b/packages/bench/src/soak/redirect-main.ts
@@ -10,6 +10,10 @@
   ...values: unknown[]
 ) => unknown;
 
+// The channel ends with the soak, also when that is killed and cannot end its processes.
+process.on('disconnect', () => process.exit(1));
+process.channel?.unref();
+
 Reflect.set(Socket.prototype, 'connect', function (this: Socket, ...values: unknown[]) {
   if (Array.isArray(values[0])) {
     const normalized = values[0] as NormalizedArguments;
