--- a/packages/partition-owner/src/partition-owner.test.ts
+++ b/packages/partition-owner/src/partition-owner.test.ts
@@ -28,13 +28,14 @@
   clock = ManualClock.create(1_000_000),
   ledger = TestLedger.create(),
   worker = TestWorker.create(),
+  armBeforeMs = 5_000,
 ) {
   const owner = PartitionOwner.create({
     partition: 'p',
     clock,
     ledger,
     workers: worker,
-    placement: { teams: [{ name: 't', quotaPerMille: 1_000 }], limits: { armBeforeMs: 5_000 } },
+    placement: { teams: [{ name: 't', quotaPerMille: 1_000 }], limits: { armBeforeMs } },
     taskLeaseMs: 10_000,
     startDeadlineMs: 2_000,
     roundDelayMs: 20,
@@ -270,3 +271,251 @@
   await advance(5_000);
   expect(worker.startedTaskIds.length).toEqual(1);
 });
+
+/** Lists a worker without a task in the platform's list. */
+function createListedWorker(address: string) {
+  const resources = { millicores: 8_000, memoryMib: 8_000, accelerators: {} };
+  return { address, rack: 'r', dataCentre: 'd', region: 'g', resources, leaving: false };
+}
+
+// Guards against two runs of a non-repeatable job: the worker of its armed task leaves the list and returns, and the
+// owner starts the task there and at its new worker while it holds.
+test('the partition owner starts a job once when the worker of its armed task leaves the list and returns', async () => {
+  const { clock, ledger, worker, owner, advance, submit } = createOwner();
+  await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(4_000);
+  expect([...ledger.state().armed.values()].map((task) => task.worker)).toEqual([WORKER]);
+  owner.setWorkers([createListedWorker('127.0.0.1:2')]);
+  await advance(2_000);
+  expect([...ledger.state().armed.values()].map((task) => task.worker)).toEqual(['127.0.0.1:2']);
+  owner.setWorkers([createListedWorker('127.0.0.1:2'), createListedWorker(WORKER)]);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
+
+// Guards against a cancelled job that starts because its cancel took effect when the owner had lost its lease.
+test('the partition owner does not start the armed task of a cancelled job while it holds', async () => {
+  const { clock, ledger, worker, owner, advance, submit } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.unknownCommits = 1;
+  expect((await owner.cancel(jobId)).isErr).toEqual(true);
+  ledger.currentAuthority = 'holding';
+  await advance(5_000);
+  expect(worker.startedTaskIds).toEqual([]);
+});
+
+// Guards against a task that starts after its job has failed: the record of that end waits for the log.
+test('the partition owner does not start the armed task of a failed job while it holds', async () => {
+  const { clock, ledger, worker, owner, advance, submit } = createOwner();
+  owner.setWorkers([createListedWorker(WORKER), createListedWorker('127.0.0.1:2')]);
+  const groups = [{ name: 'g', count: 2, resources: { ...demand, millicores: 6_000 } }];
+  await submit({ ...nonRepeatableSpec, groups, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  expect(ledger.state().armed.size).toEqual(2);
+  ledger.currentAuthority = 'holding';
+  worker.unreachableAddresses.add('127.0.0.1:2');
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'failed');
+  await advance(2_000);
+  worker.unreachableAddresses.clear();
+  await advance(5_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
+
+// Guards against a second run of a non-repeatable job: the owner started its armed task while it held, and the worker
+// restarted before the lease was back.
+test('the partition owner ends a job as unknown when the worker restarted after a start without the log', async () => {
+  const { clock, ledger, worker, advance, submit, findOutcome } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.restart();
+  await advance(2_000);
+  ledger.currentAuthority = 'leased';
+  await advance(5_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('unknown');
+});
+
+// Guards against a second run by a successor: its predecessor may have started the armed task in the incarnation of the
+// worker that it was armed for.
+test('the successor of a partition owner does not start an armed task in another incarnation of its worker', async () => {
+  const predecessor = createOwner();
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  predecessor.owner.stop();
+  worker.restart();
+  ledger.currentAuthority = 'leased';
+  const successor = createOwner(clock, ledger, worker);
+  await successor.advance(5_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('unknown');
+});
+
+// Guards against a scheduled job that is lost because its worker restarted long before the start time.
+test('the successor of a partition owner arms a task again when its worker restarted before the start time', async () => {
+  const armBeforeMs = 100_000;
+  const predecessor = createOwner(undefined, undefined, undefined, armBeforeMs);
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 110_000 });
+  await advance(15_000);
+  const [first = ''] = ledger.state().armed.keys();
+  predecessor.owner.stop();
+  worker.restart();
+  const successor = createOwner(clock, ledger, worker, armBeforeMs);
+  await successor.advance(2_000);
+  const armed = [...ledger.state().armed.keys()];
+  expect([armed.length, armed.includes(first)]).toEqual([1, false]);
+  await successor.advance(94_000);
+  expect(worker.startedTaskIds).toEqual(armed);
+  worker.endTask(armed[0] ?? '', 'completed');
+  await successor.advance(2_500);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
+
+// Guards against an exception, after which the owner makes no further planning round, and against a job that is not
+// placed again.
+test('the partition owner places a task again when its worker refuses the start of an armed task', async () => {
+  const { clock, ledger, worker, advance, submit } = createOwner();
+  await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  worker.fault = 'refused';
+  worker.onStart = () => {
+    // The lease is back when the worker answers.
+    ledger.currentAuthority = 'leased';
+    worker.onStart = () => undefined;
+  };
+  await advance(3_100);
+  expect(ledger.authority()).toEqual('leased');
+  worker.fault = 'none';
+  await advance(3_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+});
+
+// Guards against a scheduled job that ends as unknown although its task never ran: its worker is lost before the start
+// time.
+test('the successor of a partition owner arms a task elsewhere when its worker is lost before the start time', async () => {
+  const armBeforeMs = 100_000;
+  const predecessor = createOwner(undefined, undefined, undefined, armBeforeMs);
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 110_000 });
+  await advance(12_000);
+  const [first = ''] = ledger.state().armed.keys();
+  predecessor.owner.stop();
+  worker.unreachableAddresses.add(WORKER);
+  const successor = createOwner(clock, ledger, worker, armBeforeMs);
+  successor.owner.setWorkers([createListedWorker(WORKER), createListedWorker('127.0.0.1:2')]);
+  await successor.advance(15_000);
+  const ends = ledger.entries.filter((entry) => entry.type === 'task-ended');
+  expect(ends.map(({ taskId, outcome }) => [taskId, outcome])).toEqual([[first, 'refused']]);
+  await successor.advance(85_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await successor.advance(2_500);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
+
+// Guards against a scheduled job that ends as unknown although no start was sent: its worker was down at the start time
+// and restarted.
+test('the partition owner starts an armed task when its worker is back that was down at the start time', async () => {
+  const { clock, ledger, worker, advance, submit, findOutcome } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(7_000);
+  expect(ledger.state().armed.size).toEqual(1);
+  worker.unreachableAddresses.add(WORKER);
+  await advance(3_000);
+  worker.restart();
+  worker.unreachableAddresses.clear();
+  await advance(3_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await advance(2_500);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
+
+// Guards against a scheduled job that misses its start time because the log is unavailable then and its owner has
+// changed since it was armed.
+test('the successor of a partition owner starts an armed task once at its start time without the log', async () => {
+  const predecessor = createOwner();
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  predecessor.owner.stop();
+  const successor = createOwner(clock, ledger, worker);
+  await successor.advance(1_000);
+  ledger.currentAuthority = 'holding';
+  await successor.advance(3_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  ledger.currentAuthority = 'leased';
+  await successor.advance(1_000);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await successor.advance(2_500);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
+
+// Guards against a second run by a successor that holds: its predecessor started the armed task without the log, and
+// the worker has restarted since.
+test('the successor of a partition owner that holds does not start an armed task in another incarnation', async () => {
+  const predecessor = createOwner();
+  const { clock, ledger, worker, advance, submit, findOutcome } = predecessor;
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(5_000);
+  ledger.currentAuthority = 'holding';
+  await advance(4_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  predecessor.owner.stop();
+  worker.restart();
+  const successor = createOwner(clock, ledger, worker);
+  await successor.advance(5_000);
+  ledger.currentAuthority = 'leased';
+  await successor.advance(1_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  expect(findOutcome(jobId)).toEqual('unknown');
+});
+
+// Guards against a scheduled job that misses its start time because its worker is back only after it, and against one
+// that ends as unknown although no start was sent.
+test('the partition owner that holds starts an armed task when its worker is back that was down at the start time', async () => {
+  for (const downMs of [3_000, 4_900, 6_000]) {
+    for (const hasSuccessor of [false, true]) {
+      const first = createOwner();
+      const { clock, ledger, worker } = first;
+      await first.submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+      await first.advance(7_000);
+      worker.unreachableAddresses.add(WORKER);
+      if (hasSuccessor) first.owner.stop();
+      const owner = hasSuccessor ? createOwner(clock, ledger, worker) : first;
+      ledger.currentAuthority = 'holding';
+      await owner.advance(downMs);
+      worker.unreachableAddresses.clear();
+      await owner.advance(3_000);
+      expect(worker.startedTaskIds.length).toEqual(1);
+    }
+  }
+});
+
+// Guards against a job that ends as unknown although no start was sent: its worker was lost before the start time.
+test('the partition owner runs a scheduled job elsewhere when its worker never returns and no start was sent', async () => {
+  const { clock, ledger, worker, owner, advance, submit, findOutcome } = createOwner();
+  const jobId = await submit({ ...nonRepeatableSpec, startAtMs: clock.wallMs() + 8_000 });
+  await advance(7_000);
+  expect([...ledger.state().armed.values()].map((task) => task.worker)).toEqual([WORKER]);
+  owner.setWorkers([createListedWorker(WORKER), createListedWorker('127.0.0.1:2')]);
+  worker.unreachableAddresses.add(WORKER);
+  await advance(30_000);
+  expect(worker.startedTaskIds.length).toEqual(1);
+  worker.endTask(worker.startedTaskIds[0] ?? '', 'completed');
+  await advance(2_500);
+  expect(findOutcome(jobId)).toEqual('completed');
+});
--- a/packages/partition-owner/src/task-starter.ts
+++ b/packages/partition-owner/src/task-starter.ts
@@ -26,8 +26,11 @@
   /** Delay before the start of an armed task that was not sent is sent again. */
   retryDelayMs: number;
   isStopped: () => boolean;
-  /** True when this owner has ended the task, even if the journal does not contain its end yet. */
-  hasEnded: (taskId: string) => boolean;
+  /**
+   * True when this owner has ended the task or stops or has ended its job, even if the journal does not
+   * contain that yet.
+   */
+  hasEnded: (taskId: string, jobId: string) => boolean;
   /** Called when the task certainly did not start. */
   onRefused: (taskId: string) => void;
   /** Called when the worker has the task. */
@@ -79,13 +82,14 @@
     for (const { taskId, jobId, worker, startAtMs } of state.armed.values()) {
       // The record of an armed task may take effect after the owner gave the task up, and the record of its end
       // follows only with the lease.
-      if (hasEnded(taskId)) continue;
+      if (hasEnded(taskId, jobId)) continue;
       const job = state.jobs.get(jobId);
       const placedTask = tasks.find(taskId);
-      const isInProgress =
-        placedTask?.state === 'running' ||
-        (placedTask?.startableUntilMs ?? 0) > clock.monotonicMs();
-      if (job === undefined || isInProgress || (startAtMs ?? 0) > clock.wallMs()) continue;
+      const startableUntilMs = placedTask?.startableUntilMs ?? Infinity;
+      const isSent = startableUntilMs !== Infinity && startableUntilMs > clock.monotonicMs();
+      const isInProgress = placedTask?.state === 'running' || isSent;
+      const mayStart = job?.cancelAtMs === null && !isInProgress;
+      if (!mayStart || (startAtMs ?? 0) > clock.wallMs()) continue;
       const group = job.tasks.get(taskId)?.group ?? 0;
       const resources = job.spec.groups[group]?.resources ?? NO_RESOURCES;
       const start = { type: 'start', taskId, jobId, worker, group, resources } as const;
@@ -113,11 +117,29 @@
     return { type: 'task-assigned', jobId, taskId, group, worker, workerIncarnation, atMs };
   }
 
-  private async sendStarts(worker: string, starts: readonly StartDecision[]): Promise<void> {
-    const { clock, tasks, fleet, taskLeaseMs, startDeadlineMs, ledger } = this.options;
+  /**
+   * True when the start may have been sent to an earlier incarnation of its worker. The current one does not know
+   * the task and would run it again.
+   */
+  private hasLapsed(taskId: string, worker: string): boolean {
+    const { fleet, tasks } = this.options;
+    const sentTo = tasks.find(taskId)?.workerIncarnation ?? '';
+    const isCurrentKnown = fleet.find(worker)?.isReady === true;
+    return isCurrentKnown && sentTo !== '' && sentTo !== this.findIncarnation(worker);
+  }
+
+  private async sendStarts(worker: string, decided: readonly StartDecision[]): Promise<void> {
+    const { clock, tasks, fleet, taskLeaseMs, startDeadlineMs, ledger, onLapsed } = this.options;
+    const lapsed = decided.filter(({ taskId }) => this.hasLapsed(taskId, worker));
+    for (const { taskId } of lapsed) onLapsed(taskId);
+    const starts = decided.filter((start) => !lapsed.includes(start));
+    if (starts.length === 0) return;
     const startableUntilMs = clock.monotonicMs() + startDeadlineMs;
-    const workerIncarnation = this.findIncarnation(worker);
+    const firstSends = new Set<string>();
     for (const { taskId, jobId } of starts) {
+      const sentTo = tasks.find(taskId)?.workerIncarnation ?? null;
+      if (sentTo === null) firstSends.add(taskId);
+      const workerIncarnation = sentTo ?? this.findIncarnation(worker);
       tasks.add({ taskId, jobId, worker, workerIncarnation, state: 'starting', startableUntilMs });
     }
     const session = fleet.find(worker);
@@ -134,7 +156,13 @@
     );
     if (this.options.isStopped()) return;
     if (results === undefined || (results.isErr && certainlyDidNotRun(results.error))) {
-      for (const start of starts) this.settleUnsent(start);
+      for (const start of starts) {
+        const task = tasks.find(start.taskId);
+        if (task !== undefined && firstSends.has(start.taskId)) task.workerIncarnation = null;
+        // The start is still to be sent, so the reply to a fence call must not settle it.
+        if (task !== undefined && this.isArmed(start.taskId)) task.startableUntilMs = Infinity;
+        this.settleUnsent(start);
+      }
       return;
     }
     if (results.isErr) {
@@ -154,7 +182,7 @@
    */
   private settleUnsent(start: StartDecision): void {
     const { clock, ledger, tasks, retryDelayMs, hasEnded } = this.options;
-    const { taskId, worker } = start;
+    const { taskId, jobId, worker } = start;
     // A report that arrived in the meantime has shown that a predecessor started the task.
     if (this.isRunning(taskId)) {
       this.options.onStarted(taskId);
@@ -166,7 +194,7 @@
     }
     clock.after(retryDelayMs, () => {
       const isUnsettled =
-        tasks.find(taskId)?.state !== 'running' && this.isArmed(taskId) && !hasEnded(taskId);
+        tasks.find(taskId)?.state !== 'running' && this.isArmed(taskId) && !hasEnded(taskId, jobId);
       const isOwner = !this.options.isStopped() && ledger.authority() === 'leased';
       if (isUnsettled && isOwner) void this.sendStarts(worker, [start]);
     });
--- a/packages/partition-owner/src/task-table.ts
+++ b/packages/partition-owner/src/task-table.ts
@@ -3,11 +3,14 @@
   taskId: string;
   jobId: string;
   worker: string;
-  /** Incarnation of the worker when the task was assigned. */
-  workerIncarnation: string;
+  /**
+   * Incarnation of the worker when the task was assigned; empty when the journal has none, null when no owner can
+   * have sent the start.
+   */
+  workerIncarnation: string | null;
   /** `starting` until the worker confirmed that the task runs. */
   state: 'starting' | 'running';
-  /** Monotonic time after which the worker refuses the start. */
+  /** Monotonic time after which the worker refuses the start; infinite while no start of an armed task is on its way. */
   startableUntilMs: number;
 }
 
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -101,6 +101,12 @@
     partition.workersToDrain.add(worker);
   }
 
+  /** Lists the armed tasks of a worker, which have not been started. */
+  listArmedTaskIds(address: string): readonly string[] {
+    const worker = this.partition.workerTable.byAddress.get(address);
+    return [...(worker?.tasks ?? [])].filter((task) => task.state === 'armed').map(({ id }) => id);
+  }
+
   /**
    * Removes a worker whose tasks have certainly ended. Repeatable tasks are placed again; a job
    * with a task that is not repeatable ends as `unknown`.
@@ -169,7 +175,6 @@
   cancel(jobId: string, nowMs: number): Result<JobEnd | null, Failure> {
     const job = this.partition.jobs.get(jobId);
     if (job === undefined) return err(Failure.create('not-found', `job ${jobId} does not exist`));
-    if (job.state === 'armed') this.endArmedTasks(job);
     return ok(this.partition.endJob(job, 'cancelled', 'cancelled by its caller', nowMs));
   }
 
@@ -185,7 +190,10 @@
     return task === undefined ? null : taskEvents.recordRefusal(this.partition, task, nowMs);
   }
 
-  /** Records that the task has certainly ended. Repeated calls have no effect. */
+  /**
+   * Records that a run of the task has certainly ended. The run of an armed task may have started without a
+   * decision of this placement. Repeated calls have no effect.
+   */
   taskEnded(
     taskId: string,
     outcome: TaskOutcome,
@@ -194,7 +202,7 @@
     progressMs = 0,
   ): JobEnd | null {
     const task = this.partition.tasks.get(taskId);
-    if (task === undefined || task.state === 'armed') return null;
+    if (task === undefined) return null;
     task.progressMs = Math.max(task.progressMs, progressMs);
     return taskEvents.recordEnd(this.partition, task, outcome, nowMs, wallMs);
   }
@@ -269,13 +277,4 @@
   private describeQueue(job: JobRecord): string {
     return `${Math.max(0, this.partition.getQueue(job).size - 1)} other jobs of its queue`;
   }
-
-  /** Frees the capacity of the armed tasks of a cancelled job. */
-  private endArmedTasks(job: JobRecord): void {
-    for (const task of job.tasks) {
-      if (task.state !== 'armed') continue;
-      this.partition.deallocate(task);
-      task.state = lifecycles.task.step(task.state, 'end');
-    }
-  }
 }
