--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -1,5 +1,4 @@
 import type { Clock } from '@acaciahoist/clock';
-import { Instant } from '@acaciahoist/clock/instant';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
@@ -13,7 +12,6 @@
 import { AdviceScheduler } from './advice-scheduler.js';
 import { BegunJobs } from './begun-jobs.js';
 import { callTimeouts } from './call-timeouts.js';
-import { CopyPlanner } from './copy-planner.js';
 import { DisruptionBudget } from './disruption-budget.js';
 import { Evacuator } from './evacuator.js';
 import type { JobExplanation } from './job-explanation.js';
@@ -93,7 +91,6 @@
   private readonly startSender: StartSender;
   private readonly planLoop: PlanLoop;
   private readonly evacuator: Evacuator;
-  private readonly copyPlanner: CopyPlanner;
   /** Jobs whose end was logged. A leftover run may end after its job, whose end is not logged again. */
   private readonly loggedJobs = new Set<string>();
   private cancelTimers: (() => void)[] = [];
@@ -138,7 +135,6 @@
     this.startSender = StartSender.create(context);
     this.evacuator = Evacuator.create(context, DisruptionBudget.create(context));
     this.planLoop = PlanLoop.create(context, this.adviceScheduler);
-    this.copyPlanner = CopyPlanner.create(context, (service) => this.planLoop.hasWaiting(service));
   }
 
   /** Starts the periodic work: planning rounds, the check for lost runs, the log of pending jobs. */
@@ -149,12 +145,8 @@
     this.repeat(limits.planIntervalMs, () => {
       this.endLostRuns();
       this.evacuator.evacuate();
-      this.promoteCopies();
       this.planLoop.plan();
     });
-    this.repeat(limits.copyIntervalMs, () => {
-      this.copyPlanner.plan();
-    });
     this.repeat(limits.pendingReportIntervalMs, () => {
       this.reportPending();
     });
@@ -263,7 +255,6 @@
     this.markJobChanged(record);
     switch (record.kind) {
       case 'start':
-      case 'copy':
         this.startSender.handleStartRecord(record, isEffective);
         break;
       case 'life':
@@ -288,7 +279,7 @@
   private markJobChanged(record: CellRecord): void {
     if (record.kind === 'job') this.planLoop.markChanged(record.job.id);
     else if (record.kind === 'cancel') this.planLoop.markChanged(record.id);
-    else if (record.kind === 'start' || record.kind === 'copy' || record.kind === 'end')
+    else if (record.kind === 'start' || record.kind === 'end')
       this.planLoop.markChanged(taskName.jobOf(record.task));
   }
 
@@ -509,7 +500,7 @@
       this.ownedSinceMs +
       (limits.maxAppendAgeForLeaseMs + limits.leaseMs) / (1 - limits.clockDrift) +
       limits.clockMarginMs;
-    for (const trackedRun of this.runs.list()) {
+    for (const trackedRun of [...this.runs.list()]) {
       const session = this.sessions.get(trackedRun.worker);
       if (session?.isReachable) continue;
       const leasesExpireAtMs = Math.max(
@@ -532,50 +523,18 @@
         how,
         reason,
       });
-    const { task, run, checkpoint, isCopy } = trackedRun;
-    if (isCopy && how === RunEnd.done) this.append(this.createEndsOfDoneCopy(trackedRun));
-    else this.append([{ kind: 'end', task, run, how, saved: checkpoint }]);
-  }
-
-  /** Returns the records with which a task is done by its second run, also for processes of earlier versions. */
-  private createEndsOfDoneCopy(copy: TrackedRun): CellRecord[] {
-    const { task, run, worker, checkpoint } = copy;
-    const end = { kind: 'end', how: RunEnd.done, task, saved: checkpoint } as const;
-    const current = this.options.state.findTask(task)?.task;
-    if (current?.phase === 'placed' && !this.proposals.hasRunEnd(task, current.run))
-      return [{ ...end, run: current.run, copy: run }];
-    // The current run has ended or ends otherwise: the copy takes its place, unless the task is done.
-    return [
-      { kind: 'start', task, run, worker },
-      { ...end, run },
-    ];
-  }
-
-  /** Makes the copies current runs whose tasks have no other run any more. */
-  private promoteCopies(): void {
-    const { clock, state } = this.options;
-    for (const { task, run, worker } of this.runs.listCopies()) {
-      if (state.findTask(task)?.task.phase !== 'waiting') continue;
-      if (this.proposals.hasRunEnd(task, run) || this.proposals.workerOf(task) !== undefined)
-        continue;
-      // The capacity of the copy is counted already.
-      const demand = { millicores: 0, memoryMib: 0, accelerators: 0 };
-      this.proposals.addStart(task, { worker, run, demand, decidedAt: Instant.create(clock) });
-      this.append([{ kind: 'start', task, run, worker }]);
-    }
+    const { task, run, checkpoint } = trackedRun;
+    this.append([{ kind: 'end', task, run, how, saved: checkpoint }]);
   }
 
   /** Handles the record of a run end: frees the run's capacity and handles the end of its job or gang. */
   private handleEndRecord(record: Extract<CellRecord, { kind: 'end' }>): void {
-    const endedRun = record.copy ?? record.run;
-    this.proposals.removeRunEnd(record.task, endedRun);
-    const trackedRun = this.runs.find(record.task, endedRun);
-    if (trackedRun === undefined) return;
-    this.runs.remove(trackedRun);
+    this.proposals.removeRunEnd(record.task);
+    const trackedRun = this.runs.get(record.task);
+    if (trackedRun?.run !== record.run) return;
+    this.runs.remove(record.task);
     const session = this.sessions.get(trackedRun.worker);
     if (session !== undefined) this.runTracker.acknowledgeRunEnds(session);
-    if (record.copy !== undefined) this.stopOvertakenRun(record.task, record.run);
-    this.promoteCopies();
     const ref = taskName.parse(record.task);
     if (ref === undefined) return;
     const ended = this.options.state.ended.get(ref.job);
@@ -583,15 +542,6 @@
     else if (record.how !== RunEnd.done) this.stopGang(record.task, record.run);
   }
 
-  /** Stops the run whose copy is done; it is the second run of its task until it ends. */
-  private stopOvertakenRun(task: string, run: number): void {
-    const overtaken = this.runs.get(task);
-    if (overtaken?.run !== run || this.options.state.copies.get(task)?.run !== run) return;
-    this.runs.setCopy(overtaken, true);
-    const session = this.sessions.get(overtaken.worker);
-    if (session !== undefined) this.sendStop(session, overtaken);
-  }
-
   /** Logs the end of a job once and stops its leftover runs. */
   private handleJobEnd(id: string): void {
     const ended = this.options.state.ended.get(id);
@@ -612,10 +562,6 @@
       const session = trackedRun && this.sessions.get(trackedRun.worker);
       if (trackedRun !== undefined && session !== undefined) this.sendStop(session, trackedRun);
     }
-    for (const copy of this.runs.listCopies()) {
-      const session = this.sessions.get(copy.worker);
-      if (taskName.jobOf(copy.task) === id && session !== undefined) this.sendStop(session, copy);
-    }
   }
 
   /** Stops the other members of a gang after one has ended, as they would only wait for it. */
--- a/packages/cell-owner/src/evacuator.ts
+++ b/packages/cell-owner/src/evacuator.ts
@@ -1,7 +1,6 @@
 import { computeDemand } from '@acaciahoist/cell-planner/compute-demand';
 import { countFittingTasks } from '@acaciahoist/cell-planner/count-fitting-tasks';
 import { taskName } from '@acaciahoist/cell-state/task-name';
-import { computeFreeCapacity } from './compute-free-capacity.js';
 import type { DisruptionBudget } from './disruption-budget.js';
 import { estimateRemainingMs } from './estimate-remaining-ms.js';
 import { limits } from './limits.js';
@@ -76,7 +75,7 @@
         session.entry.service === service &&
         (step.label === '' || session.entry.labels.includes(step.label));
       if (!isSuitable) continue;
-      const fitting = countFittingTasks(computeFreeCapacity(this.context, session), demand, needed);
+      const fitting = countFittingTasks(this.computeFreeCapacity(session), demand, needed);
       const allowed =
         step.maxPerWorker === 0
           ? fitting
@@ -95,4 +94,12 @@
       !adviceCache.get(stepKey).denied.has(session.id)
     );
   }
+
+  private computeFreeCapacity(session: WorkerSession): Parameters<typeof countFittingTasks>[0] {
+    const { millicores, memoryMib, accelerators } = session.entry;
+    const free = { millicores, memoryMib, accelerators };
+    this.context.runs.usedCapacity.subtractFrom(free, session.id);
+    this.context.proposals.usedCapacity.subtractFrom(free, session.id);
+    return free;
+  }
 }
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -75,8 +75,6 @@
    * The record that a job has begun waits this long for other records, to be appended together with them.
    */
   begunAppendDelayMs: 40,
-  /** Interval at which the owner looks for slow runs to copy. */
-  copyIntervalMs: 250,
   /** Interval of the log lines that give the number of pending jobs. */
   pendingReportIntervalMs: 1_000,
   /**
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -7,7 +7,6 @@
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { computeDemand } from '@acaciahoist/cell-planner/compute-demand';
 import type { AdviceScheduler } from './advice-scheduler.js';
-import { computeFreeCapacity } from './compute-free-capacity.js';
 import { estimateRemainingMs } from './estimate-remaining-ms.js';
 import { explainJob } from './explain-job.js';
 import type { JobExplanation } from './job-explanation.js';
@@ -30,8 +29,6 @@
   /** Duration of the last round in ms. */
   private roundDurationMs = 0;
   private readonly readySteps: ReadyStepIndex;
-  /** Services with tasks that the last round could not start. */
-  private readonly waitingServices = new Set<string>();
 
   private constructor(
     private readonly context: OwnerContext,
@@ -89,23 +86,14 @@
     });
   }
 
-  /** True when the last round left tasks of the service waiting, or may have. */
-  hasWaiting(service: string): boolean {
-    return this.waitingServices.has(service);
-  }
-
   private planRound(nowMs: number): void {
     const { clock, proposals } = this.context;
     // A start that is decided while the store is unavailable would be too old by the time it is recorded.
     if (proposals.oldestStartAgeMs() > limits.staleProposalMs) return;
     const steps = this.readySteps.list({ wallMs: clock.wallMs(), monotonicMs: nowMs });
-    this.waitingServices.clear();
     if (steps.length === 0) return;
     const plan = planCell(steps, this.listWorkers(nowMs), nowMs, this.createBudget());
     const stepsByKey = new Map(steps.map((step) => [step.key, step]));
-    const taskCount = steps.reduce((sum, step) => sum + step.waitingTasks.length, 0);
-    if (taskCount > plan.starts.length)
-      for (const step of steps) this.waitingServices.add(step.queue.service);
     this.recordStarts(plan.starts, stepsByKey, nowMs);
     for (const request of plan.adviceRequests) {
       const step = stepsByKey.get(request.key);
@@ -122,17 +110,21 @@
   }
 
   private listWorkers(nowMs: number): PlannedWorker[] {
-    const { sessions, runs, workerHealth } = this.context;
+    const { sessions, runs, proposals, workerHealth } = this.context;
     const workers: PlannedWorker[] = [];
     for (const session of sessions.values()) {
       const { entry, id } = session;
+      const { millicores, memoryMib, accelerators } = entry;
+      const free = { millicores, memoryMib, accelerators };
+      runs.usedCapacity.subtractFrom(free, id);
+      proposals.usedCapacity.subtractFrom(free, id);
       workers.push({
         id,
         service: entry.service,
         rack: entry.rack,
         labels: entry.labels,
         total: entry,
-        free: computeFreeCapacity(this.context, session),
+        free,
         listRuns: () =>
           [...runs.listOn(id)].map((trackedRun) => ({
             endsInMs: estimateRemainingMs(trackedRun, nowMs),
@@ -164,8 +156,7 @@
         (highest, member) => Math.max(highest, member.run),
         0,
       );
-      const lastRun = Math.max(taskEntry.task.run, taskEntry.task.copyRun ?? 0);
-      const run = (step.step.gang ? highestRun : lastRun) + 1;
+      const run = (step.step.gang ? highestRun : taskEntry.task.run) + 1;
       const demand = computeDemand(step.step);
       this.context.proposals.addStart(task, { worker, run, demand, decidedAt });
       this.readySteps.markChanged(taskEntry.progress.job.id);
--- a/packages/cell-owner/src/ready-step-index.ts
+++ b/packages/cell-owner/src/ready-step-index.ts
@@ -119,11 +119,6 @@
     return readySteps;
   }
 
-  /** Returns the worker of a waiting task whose start is decided, or whose copy takes the place of its last run. */
-  private findPlannedWorker(task: string): string | undefined {
-    return this.options.proposedWorker(task) ?? this.options.state.copies.get(task)?.worker;
-  }
-
   private toReadyStep(
     progress: JobProgress,
     occurrence: number,
@@ -146,21 +141,13 @@
     const waitingTasks: number[] = [];
     const tasksByWorker = new Map<string, number>();
     const failedOn = new Map<number, string>();
-    const countTaskOn = (worker: string): void => {
-      tasksByWorker.set(worker, (tasksByWorker.get(worker) ?? 0) + 1);
-    };
     for (const [taskIndex, task] of stepProgress.tasks.entries()) {
-      if (step.speculative && task.phase !== 'waiting') {
-        // The copy of the task, or the run that goes on after it, counts on its worker too.
-        const copyWorker = this.findPlannedWorker(`${key}.${taskIndex}`);
-        if (copyWorker !== undefined) countTaskOn(copyWorker);
-      }
       if (task.phase === 'done') continue;
       const worker =
-        task.phase === 'placed' ? task.worker : this.findPlannedWorker(`${key}.${taskIndex}`);
+        task.phase === 'placed' ? task.worker : this.options.proposedWorker(`${key}.${taskIndex}`);
       if (task.failures > 0) failedOn.set(taskIndex, task.worker);
       if (worker === undefined) waitingTasks.push(taskIndex);
-      else countTaskOn(worker);
+      else tasksByWorker.set(worker, (tasksByWorker.get(worker) ?? 0) + 1);
     }
     if (waitingTasks.length === 0 || (step.gang && waitingTasks.length < step.count))
       return undefined;
--- a/packages/cell-owner/src/run-table.ts
+++ b/packages/cell-owner/src/run-table.ts
@@ -13,85 +13,47 @@
     return table;
   }
 
-  /** The current run of each task. */
   private readonly byTask = new Map<string, TrackedRun>();
-  /** The second run of each task that has one. */
-  private readonly copies = new Map<string, TrackedRun>();
-  private readonly byWorker = new Map<string, Set<TrackedRun>>();
+  private readonly byWorker = new Map<string, Map<string, TrackedRun>>();
   /** Capacity that the runs use. */
   readonly usedCapacity = UsedCapacity.create();
 
   private constructor(private readonly state: CellState) {}
 
-  /** Returns the current run of a task. */
   get(task: string): TrackedRun | undefined {
     return this.byTask.get(task);
   }
 
-  /** Returns the second run of a task. */
-  getCopy(task: string): TrackedRun | undefined {
-    return this.copies.get(task);
-  }
-
-  /** Returns the run of a task with this number, whether it is the current or the second one. */
-  find(task: string, run: number): TrackedRun | undefined {
-    const current = this.byTask.get(task);
-    if (current?.run === run) return current;
-    const copy = this.copies.get(task);
-    return copy?.run === run ? copy : undefined;
-  }
-
-  has(trackedRun: TrackedRun): boolean {
-    return this.find(trackedRun.task, trackedRun.run) === trackedRun;
-  }
-
   listOn(worker: string): IterableIterator<TrackedRun> {
-    return (this.byWorker.get(worker) ?? new Set<TrackedRun>()).values();
+    return (this.byWorker.get(worker) ?? new Map<string, TrackedRun>()).values();
   }
 
   countOn(worker: string): number {
     return this.byWorker.get(worker)?.size ?? 0;
   }
 
-  /** Lists all runs. */
-  list(): TrackedRun[] {
-    return [...this.byTask.values(), ...this.copies.values()];
-  }
-
-  listCopies(): TrackedRun[] {
-    return [...this.copies.values()];
+  list(): IterableIterator<TrackedRun> {
+    return this.byTask.values();
   }
 
   add(trackedRun: TrackedRun): void {
-    const runs = this.runsLike(trackedRun);
-    const former = runs.get(trackedRun.task);
-    if (former !== undefined) this.remove(former);
+    this.remove(trackedRun.task);
+    this.byTask.set(trackedRun.task, trackedRun);
+    let runs = this.byWorker.get(trackedRun.worker);
+    if (runs === undefined)
+      this.byWorker.set(trackedRun.worker, (runs = new Map<string, TrackedRun>()));
     runs.set(trackedRun.task, trackedRun);
-    let runsOnWorker = this.byWorker.get(trackedRun.worker);
-    if (runsOnWorker === undefined)
-      this.byWorker.set(trackedRun.worker, (runsOnWorker = new Set<TrackedRun>()));
-    runsOnWorker.add(trackedRun);
     this.usedCapacity.add(trackedRun.worker, trackedRun.demand);
   }
 
-  remove(trackedRun: TrackedRun): void {
-    if (!this.has(trackedRun)) return;
-    this.runsLike(trackedRun).delete(trackedRun.task);
+  remove(task: string): void {
+    const trackedRun = this.byTask.get(task);
+    if (trackedRun === undefined) return;
+    this.byTask.delete(task);
     this.usedCapacity.remove(trackedRun.worker, trackedRun.demand);
-    const runsOnWorker = this.byWorker.get(trackedRun.worker);
-    runsOnWorker?.delete(trackedRun);
-    if (runsOnWorker?.size === 0) this.byWorker.delete(trackedRun.worker);
-  }
-
-  /** Makes a run the second or the current one of its task, which must have no other such run. */
-  setCopy(trackedRun: TrackedRun, isCopy: boolean): void {
-    this.runsLike(trackedRun).delete(trackedRun.task);
-    trackedRun.isCopy = isCopy;
-    this.runsLike(trackedRun).set(trackedRun.task, trackedRun);
-  }
-
-  private runsLike({ isCopy }: TrackedRun): Map<string, TrackedRun> {
-    return isCopy ? this.copies : this.byTask;
+    const runs = this.byWorker.get(trackedRun.worker);
+    runs?.delete(task);
+    if (runs?.size === 0) this.byWorker.delete(trackedRun.worker);
   }
 
   /** Adds the runs of jobs that have not ended and those that are left over from ended jobs. */
@@ -114,11 +76,6 @@
       for (const [name, run] of ended.leftovers)
         this.add(createInheritedRun(name, run, computeDemand(run.size), 0, nowMs));
     }
-    for (const [name, run] of this.state.copies) {
-      const estimateMs = this.state.findStep(name)?.estimateMs ?? 0;
-      const copy = createInheritedRun(name, run, computeDemand(run.size), estimateMs, nowMs);
-      this.add({ ...copy, isCopy: true });
-    }
   }
 }
 
@@ -134,7 +91,6 @@
     task,
     run,
     worker,
-    isCopy: false,
     born,
     demand,
     phase: 'inherited',
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -5,7 +5,6 @@
 import { computeDemand } from '@acaciahoist/cell-planner/compute-demand';
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { callTimeouts } from './call-timeouts.js';
-import { isWanted } from './is-wanted.js';
 import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
 import type { TrackedRun } from './tracked-run.js';
@@ -19,36 +18,20 @@
 
   private constructor(private readonly context: OwnerContext) {}
 
-  /**
-   * Handles the record of a start after it was applied, and sends the start if the record was effective. The start of
-   * a run that is the copy of its task so far makes it the current one.
-   */
-  handleStartRecord(
-    record: Extract<CellRecord, { kind: 'start' | 'copy' }>,
-    isEffective: boolean,
-  ): void {
+  /** Handles the record of a start after it was applied, and sends the start if the record was effective. */
+  handleStartRecord(record: Extract<CellRecord, { kind: 'start' }>, isEffective: boolean): void {
     const proposal = this.context.proposals.takeStart(record.task);
     if (!isEffective) return;
-    const isCopy = record.kind === 'copy';
-    const copy = this.context.runs.getCopy(record.task);
-    if (!isCopy && copy?.run === record.run && copy.worker === record.worker) {
-      this.context.runs.setCopy(copy, false);
-      return;
-    }
     const taskEntry = this.context.state.findTask(record.task);
     const ref = taskName.parse(record.task);
     const step = ref && taskEntry?.progress.job.steps[ref.step];
     if (taskEntry === undefined || step === undefined) return;
     const nowMs = this.context.clock.monotonicMs();
-    const currentCheckpoint = isCopy ? this.context.runs.get(record.task)?.checkpoint : undefined;
-    const checkpoint = currentCheckpoint ?? taskEntry.task.checkpoint;
-    const recordedCopy = isCopy ? this.context.state.copies.get(record.task) : undefined;
     const trackedRun: TrackedRun = {
       task: record.task,
       run: record.run,
       worker: record.worker,
-      isCopy,
-      born: recordedCopy?.born ?? taskEntry.task.born,
+      born: taskEntry.task.born,
       demand: proposal?.demand ?? computeDemand(step),
       phase: 'sending',
       trackedSinceMs: nowMs,
@@ -56,12 +39,12 @@
       estimateMs: step.estimateMs,
       percent: 0,
       lastProgressAtMs: nowMs,
-      checkpoint,
+      checkpoint: taskEntry.task.checkpoint,
       load: 0,
       pacedPercent: 100,
       pacedAtMs: nowMs,
       // A run that resumes from a checkpoint does only a part of the work that was estimated.
-      isSpeedRecorded: checkpoint !== '',
+      isSpeedRecorded: taskEntry.task.checkpoint !== '',
       stopSentAtMs: 0,
       stopConfirmedAtMs: 0,
     };
@@ -118,7 +101,7 @@
       if (repeatReply.kind !== 'refused') reply = repeatReply;
       else break;
     }
-    if (this.context.isStopped() || !this.context.runs.has(trackedRun)) return;
+    if (this.context.isStopped() || this.context.runs.get(trackedRun.task) !== trackedRun) return;
     trackedRun.startSettledAtMs = clock.monotonicMs();
     switch (reply.kind) {
       case 'started':
@@ -175,8 +158,10 @@
    */
   private mayRepeat(session: WorkerSession, trackedRun: TrackedRun): boolean {
     const { isStopped, runs, state } = this.context;
-    if (isStopped() || !runs.has(trackedRun) || trackedRun.stopSentAtMs > 0) return false;
-    return isWanted(state, trackedRun) && session.isStartable();
+    if (isStopped() || runs.get(trackedRun.task) !== trackedRun || trackedRun.stopSentAtMs > 0)
+      return false;
+    const task = state.findTask(trackedRun.task)?.task;
+    return task?.phase === 'placed' && task.run === trackedRun.run && session.isStartable();
   }
 
   /** Handles a start that the worker refused and will not execute later: the run ends as lost. */
--- a/packages/cell-owner/src/tracked-run.ts
+++ b/packages/cell-owner/src/tracked-run.ts
@@ -5,8 +5,6 @@
   task: string;
   run: number;
   worker: string;
-  /** True for a second run: the copy beside the current run, or the current run after its copy was done. */
-  isCopy: boolean;
   /** Incarnation of the worker for which the run was decided: its start as Unix ms; 0 when unknown. */
   born: number;
   demand: Capacity;
--- a/packages/cell-state/src/cell-state.ts
+++ b/packages/cell-state/src/cell-state.ts
@@ -47,11 +47,6 @@
   readonly ended = new Map<string, EndedJob>();
   /** Number of pending jobs by queue: accepted, not begun and without scheduled times. */
   readonly pendingCounts = new Map<string, number>();
-  /**
-   * Second runs that have not ended, by task: the copy of a task beside its current run, or the current run after its
-   * copy was done. It stays here when the job ends.
-   */
-  readonly copies = new Map<string, LeftoverRun>();
   /** Start of the newest incarnation of each worker that an owner has reached, in Unix ms. */
   readonly incarnations = new Map<string, number>();
   /** The claim in force; undefined before the first. */
@@ -109,17 +104,12 @@
       case 'start':
         if (record.run > offset + MAX_LEAD) return false;
         return this.placeTask(record.task, record.run, record.worker);
-      case 'copy':
-        if (record.run > offset + MAX_LEAD) return false;
-        return this.placeCopy(record.task, record.run, record.worker);
       case 'life':
         return this.recordIncarnation(record.worker, record.born);
       case 'begun':
         return this.markBegun(this.jobs.get(record.job));
       case 'end':
-        return record.copy === undefined
-          ? this.endRun(record.task, record.run, record.how, record.saved)
-          : this.endByCopy(record.task, record.run, record.copy, record.saved);
+        return this.endRun(record.task, record.run, record.how, record.saved);
     }
   }
 
@@ -209,29 +199,11 @@
     if (entry === undefined) return false;
     const { stepProgress, task } = entry;
     if (task.phase !== 'waiting' || run <= task.run) return false;
-    const copy = this.copies.get(name);
-    const isCopy = copy?.run === run && copy.worker === worker;
     task.phase = 'placed';
     task.run = run;
     task.worker = worker;
-    task.born = isCopy ? copy.born : (this.incarnations.get(worker) ?? 0);
+    task.born = this.incarnations.get(worker) ?? 0;
     stepProgress.placed += 1;
-    if (isCopy) this.copies.delete(name);
-    return true;
-  }
-
-  /** Records that a second run of the task is placed on another worker, beside the current one. */
-  private placeCopy(name: string, run: number, worker: string): boolean {
-    const entry = this.findTask(name);
-    const size = this.findStep(name);
-    if (entry === undefined || size === undefined || this.copies.has(name)) return false;
-    const { task } = entry;
-    const mayHaveCopy = size.speculative && !size.gang && !size.longRunning;
-    if (!mayHaveCopy || task.phase !== 'placed' || task.worker === worker) return false;
-    if (run <= task.run || run <= (task.copyRun ?? 0)) return false;
-    task.copyRun = run;
-    const born = this.incarnations.get(worker) ?? 0;
-    this.copies.set(name, { run, worker, born, size });
     return true;
   }
 
@@ -259,7 +231,6 @@
   /** Records the end of a run, which may end its task and its job. */
   private endRun(name: string, run: number, how: RunEnd, saved: string): boolean {
     const entry = this.findTask(name);
-    if (this.copies.get(name)?.run === run) return this.endCopy(name, run, how);
     if (entry === undefined) {
       const leftovers = this.ended.get(taskName.jobOf(name))?.leftovers;
       return leftovers?.get(name)?.run === run && leftovers.delete(name);
@@ -276,46 +247,15 @@
     if (how === RunEnd.done) this.markDone(stepProgress, task, definition.gang);
     else if (how === RunEnd.failed)
       this.markFailed(progress, stepProgress, task, definition.gang, run);
-    this.finishIfDone(progress);
-    return true;
-  }
-
-  /** Records the end of a second run, which leaves the current run as it is. A failure counts for the task. */
-  private endCopy(name: string, run: number, how: RunEnd): boolean {
-    this.copies.delete(name);
-    const entry = this.findTask(name);
-    if (entry === undefined || entry.task.phase === 'done') return true;
-    if (how !== RunEnd.lost) this.markBegun(entry.progress);
-    if (how === RunEnd.failed)
-      this.markFailed(entry.progress, entry.stepProgress, entry.task, false, run);
+    if (
+      progress.occurrences.every((steps) =>
+        steps.every((occurrenceStep) => occurrenceStep.done === occurrenceStep.tasks.length),
+      )
+    )
+      this.finishJob(progress.job.id, 'completed');
     return true;
   }
 
-  /** Records that the copy of a task is done. The current run becomes the second one, until it ends. */
-  private endByCopy(name: string, run: number, copyRun: number, saved: string): boolean {
-    if (this.copies.get(name)?.run !== copyRun) return false;
-    this.copies.delete(name);
-    const entry = this.findTask(name);
-    const size = this.findStep(name);
-    if (entry === undefined || size === undefined) return true;
-    const { progress, stepProgress, task } = entry;
-    if (task.phase !== 'placed' || task.run !== run) return true;
-    this.copies.set(name, { run, worker: task.worker, born: task.born, size });
-    this.markBegun(progress);
-    stepProgress.placed -= 1;
-    if (saved !== '') task.checkpoint = saved;
-    this.markDone(stepProgress, task, false);
-    this.finishIfDone(progress);
-    return true;
-  }
-
-  private finishIfDone(progress: JobProgress): void {
-    const isDone = progress.occurrences.every((steps) =>
-      steps.every((step) => step.done === step.tasks.length),
-    );
-    if (isDone) this.finishJob(progress.job.id, 'completed');
-  }
-
   /** Marks the task as done, or all tasks of a gang when one of its members is done. */
   private markDone(stepProgress: StepProgress, task: TaskProgress, isGang: boolean): void {
     if (!isGang) {
--- a/packages/cell-state/src/record-shapes.ts
+++ b/packages/cell-state/src/record-shapes.ts
@@ -36,15 +36,5 @@
   ['life', object({ worker: text, born: number })],
   ['begun', object({ job: text })],
   // Later versions may have further kinds of run ends.
-  [
-    'end',
-    object({
-      task: text,
-      run: integerFrom(0),
-      how: text,
-      saved: text,
-      copy: optional(integerFrom(0)),
-    }),
-  ],
-  ['copy', object({ task: text, run: integerFrom(0), worker: text })],
+  ['end', object({ task: text, run: integerFrom(0), how: text, saved: text })],
 ]);
--- a/packages/cell-state/src/snapshot-codec.ts
+++ b/packages/cell-state/src/snapshot-codec.ts
@@ -23,8 +23,6 @@
    * leftover runs.
    */
   lives?: [string, number][];
-  /** Second runs by task. Absent in snapshots of earlier versions. */
-  copies?: [string, LeftoverRun][];
   jobs: JobProgress[];
   ended: {
     id: string;
@@ -46,7 +44,6 @@
       termStartMs: state.termStartMs,
       claim: state.claim ?? null,
       lives: [...state.incarnations],
-      copies: [...state.copies],
       jobs: [...state.jobs.values()],
       ended: [...state.ended].map(([id, job]) => ({
         id,
@@ -72,7 +69,6 @@
     state.termStartMs = content.termStartMs ?? 0;
     state.claim = content.claim ?? undefined;
     for (const [worker, born] of content.lives ?? []) state.incarnations.set(worker, born);
-    for (const [task, run] of content.copies ?? []) state.copies.set(task, run);
     for (const progress of content.jobs) {
       for (const steps of progress.occurrences)
         for (const step of steps) for (const task of step.tasks) fillMissingIncarnation(task);
--- a/packages/cell-state/src/snapshot-shape.ts
+++ b/packages/cell-state/src/snapshot-shape.ts
@@ -16,7 +16,6 @@
   born: optional(number),
   failures: integerFrom(0),
   checkpoint: text,
-  copyRun: optional(integerFrom(0)),
 });
 
 const step = object({
@@ -47,7 +46,6 @@
   termStartMs: optional(numberFrom(0)),
   claim: nullable(object({ owner: text, address: text, token: integerFrom(0), released: boolean })),
   lives: optional(listOf(tuple(text, number))),
-  copies: optional(listOf(tuple(text, leftoverRun))),
   jobs: listOf(
     object({
       job: jobShape,
--- a/packages/cell-state/src/task-progress.ts
+++ b/packages/cell-state/src/task-progress.ts
@@ -15,6 +15,4 @@
   failures: number;
   /** Newest durable checkpoint; empty when there is none. */
   checkpoint: string;
-  /** Number of the newest copy; absent before the first, and in snapshots of earlier versions. */
-  copyRun?: number;
 }
--- a/packages/cell-types/src/cell-record.ts
+++ b/packages/cell-types/src/cell-record.ts
@@ -36,13 +36,5 @@
   | { kind: 'life'; worker: string; born: number }
   /** A worker has confirmed the first start of a task of the job. */
   | { kind: 'begun'; job: string }
-  /**
-   * The owner is about to send the start of a second run of a task, its copy, beside the current one. Earlier
-   * versions ignore it, and take the run for one that was not recorded.
-   */
-  | { kind: 'copy'; task: string; run: number; worker: string }
-  /**
-   * A run has ended. `saved` is the checkpoint that it left; empty for none. With `copy`, the copy of this number is
-   * done instead of the current run, which goes on until it is stopped; earlier versions take the run for done.
-   */
-  | { kind: 'end'; task: string; run: number; how: RunEnd; saved: string; copy?: number };
+  /** A run has ended. `saved` is the checkpoint that it left; empty for none. */
+  | { kind: 'end'; task: string; run: number; how: RunEnd; saved: string };
