--- a/packages/peer-socket/src/peer-link.ts
+++ b/packages/peer-socket/src/peer-link.ts
@@ -186,7 +186,8 @@
 
   private openReplacement(oldConnection: PeerConnection): void {
     // The connection of an outstanding probe also ends when the link stops. A call that fails while the
-    // replacement is being opened starts another probe of the old connection.
+    // replacement is being opened starts another probe of the old connection; nothing would close the first of two
+    // replacements.
     if (this.isStopped || this.replacement !== undefined) return;
     this.machine.send({ type: 'PROBE_FAILED' });
     this.replacement = this.openConnection(() => {
