--- a/packages/bench/src/recovery/recovery-cell.ts
+++ b/packages/bench/src/recovery/recovery-cell.ts
@@ -49,10 +49,7 @@
         'readiness of all processes',
         () => cell.readyIndexes().length === options.processes,
       );
-      const text = recoveryDeclaration('r');
-      const published = await cell.call(0, 'POST', '/configuration', { baseRevision: 0, text });
-      if (published.type !== 'reply')
-        throw new Error(`the configuration was not published: ${JSON.stringify(published)}`);
+      await cell.waitUntil('the publication of the configuration', () => cell.publish());
       await cell.waitUntil(
         'an owner of each partition',
         async () => (await cell.owners()).size === 2,
@@ -331,6 +328,16 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** Publishes the first configuration; false when the answer is that it was not appended and may be repeated. */
+  private async publish(): Promise<boolean> {
+    const body = { baseRevision: 0, text: recoveryDeclaration('r') };
+    const published = await this.call(0, 'POST', '/configuration', body);
+    if (published.type === 'error' && published.kind === 'log-unavailable') return false;
+    if (published.type !== 'reply')
+      throw new Error(`the configuration was not published: ${JSON.stringify(published)}`);
+    return true;
+  }
+
   /** The owners by partition; `isComplete` is false when a running process did not answer in time. */
   private async readOwners(): Promise<{
     owners: ReadonlyMap<string, number>;
