--- a/packages/cli/src/log-lines/parse-log-line.ts
+++ b/packages/cli/src/log-lines/parse-log-line.ts
@@ -3,7 +3,7 @@
 
 const DAY_MS = 86_400_000;
 const ISO_TIME = /^(\d{4})-(\d\d)-(\d\d)T(\d\d):(\d\d):(\d\d(?:\.\d+)?)Z$/;
-/** A time in seconds, as `fleetbench run --log` prints it. */
+/** A time in seconds, which a tool that collects logs may put before each line. */
 const SECONDS = /^-?\d+(?:\.\d+)?$/;
 /** A field and the space after it. Quoted values are JSON strings. */
 const FIELD = /([A-Za-z]\w*)=("(?:[^"\\]|\\.)*"|[^\s"]*)(?:\s+|$)/y;
