--- /dev/null
+++ b/review/stand-ins/cell.mjs
@@ -0,0 +1,73 @@
+// Starts a small deployment: a store, runners and three processes of the system, in three zones.
+import { Deployment, sleep } from './deployment.mjs';
+import { RunHistory } from './run-history.mjs';
+import { Store } from './store.mjs';
+import { Worker } from './worker.mjs';
+
+const HOST = '127.0.0.1';
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+/** Time for the processes to choose an owner and to find the runners. */
+const SETTLE_MS = 3_000;
+
+export const queue = { host: 'queue.example', prefix: '/queue/' };
+
+const configuration = {
+  version: 1,
+  routes: [
+    {
+      name: 'queue',
+      host: queue.host,
+      pathPrefix: queue.prefix,
+      kind: 'non_idempotent',
+      timeoutMs: 3000,
+      targetDurationMs: 1000,
+      priority: 1,
+      service: 'service',
+      maxAttempts: 3,
+      slackFactor: 2,
+    },
+  ],
+  services: [{ name: 'service', rejectsOverload: false }],
+  limits: {},
+};
+
+/** `onStop` registers what ends the parts again. `processes`: their number. `workers`: the number of runners. */
+export async function startCell({ add, onStop, workers: workerCount = 6, processes = 3, cpu }) {
+  const store = new Store({ host: HOST });
+  await store.start();
+  onStop(() => store.stop());
+  store.put('keyed.op', 'config', configuration);
+  const history = new RunHistory();
+  const workers = [];
+  for (let index = 0; index < workerCount; index += 1) {
+    const worker = new Worker({
+      id: `i-00000${index}`,
+      host: HOST,
+      store,
+      service: 'service',
+      zone: ZONES[index % ZONES.length],
+      rack: `r${index % 2}`,
+      record: add,
+      ...(cpu === undefined ? {} : { cpu }),
+    });
+    history.watch(worker);
+    await worker.start();
+    onStop(() => worker.stop());
+    workers.push(worker);
+  }
+  const deployment = new Deployment({ record: add, store, logPath: process.env.LOG });
+  onStop(() => deployment.stop());
+  for (let index = 0; index < processes; index += 1) {
+    const zone = ZONES[index % ZONES.length];
+    const name = `frontend-${index}`;
+    deployment.startNode(await deployment.addNode({ name, host: HOST, zone, zones: ZONES }));
+  }
+  await deployment.waitReady();
+  await sleep(SETTLE_MS);
+  return { store, history, workers, deployment };
+}
+
+/** Returns the id of the job with this number. */
+export function jobId(number) {
+  return number.toString(16).padStart(16, '0');
+}
--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -40,7 +40,13 @@
   }
 
   /** Prepares a machine of a zone; `advice` is the address of the advice service, if there is one. */
-  async addNode({ name, host, zone, zones, advice }) {
+  async addNode(terms) {
+    const node = await this.prepareNode(terms);
+    this.nodes.push(node);
+    return node;
+  }
+
+  async prepareNode({ name, host, zone, zones, advice }) {
     const [frontend, ready, control, peer, last] = await findPorts(host, 5);
     const node = {
       name,
@@ -82,7 +88,7 @@
     };
     // JSON is YAML.
     writeFileSync(node.settings, JSON.stringify(settings));
-    this.nodes.push(node);
+    node.terms = { name, host, zone, zones, advice };
     return node;
   }
 
@@ -111,6 +117,11 @@
       for (;;) {
         const reply = await call(node.ready, 'GET', '/readyz', {}, undefined, 1000);
         if (reply.status === 200) break;
+        if (node.exit !== undefined) {
+          // Another program has taken one of the ports meanwhile.
+          Object.assign(node, await this.prepareNode(node.terms));
+          this.startNode(node);
+        }
         if (Date.now() > untilMs) throw new Error(`${node.name} does not become ready`);
         await sleep(100);
       }
