--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -31,8 +31,11 @@
   limits: {},
 };
 
-/** `onStop` registers what ends the parts again. `processes`: their number. `workers`: the number of runners. */
-export async function startCell({ add, onStop, workers: workerCount = 6, processes = 3, cpu }) {
+/**
+ * `onStop` registers what ends the parts again. `processes`: their number. `workers`: the number of runners.
+ * `cpuOf`: the processors of a runner, in thousandths of a core, by its index.
+ */
+export async function startCell({ add, onStop, workers: workerCount = 6, processes = 3, cpuOf }) {
   const store = new Store({ host: HOST });
   await store.start();
   onStop(() => store.stop());
@@ -48,7 +51,7 @@
       zone: ZONES[index % ZONES.length],
       rack: `r${index % 2}`,
       record: add,
-      ...(cpu === undefined ? {} : { cpu }),
+      ...(cpuOf === undefined ? {} : { cpu: cpuOf(index) }),
     });
     history.watch(worker);
     await worker.start();
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -110,7 +110,12 @@
       saves: terms.saves === true,
       workMs: terms.workMs,
     };
-    started.timer = setTimeout(() => this.end(started, 'done'), terms.workMs - resumedMs);
+    const index = Number(task.split('.').at(-1));
+    const fails = run === 1 && (terms.failsFirst ?? []).includes(index);
+    started.timer = setTimeout(
+      () => this.end(started, fails ? 'failed' : 'done'),
+      fails ? terms.workMs / 2 : terms.workMs - resumedMs,
+    );
     this.running.set(task, started);
     this.worker.note(`start ${task} run=${run} checkpoint=${checkpoint ?? ''}`);
     this.worker.onStart?.(started);
