--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -9,24 +9,24 @@
 /** Time for the processes to choose an owner and to find the runners. */
 const SETTLE_MS = 3_000;
 
-export const queue = { host: 'queue.example', prefix: '/queue/' };
+/** Queues of the configuration; `priority` 0 comes first. */
+export const queue = { name: 'queue', host: 'queue.example', prefix: '/queue/', priority: 1 };
+export const lowQueue = { name: 'low', host: 'low.example', prefix: '/low/', priority: 2 };
 
 const configuration = {
   version: 1,
-  routes: [
-    {
-      name: 'queue',
-      host: queue.host,
-      pathPrefix: queue.prefix,
-      kind: 'non_idempotent',
-      timeoutMs: 3000,
-      targetDurationMs: 1000,
-      priority: 1,
-      service: 'service',
-      maxAttempts: 3,
-      slackFactor: 2,
-    },
-  ],
+  routes: [queue, lowQueue].map(({ name, host, prefix, priority }) => ({
+    name,
+    host,
+    pathPrefix: prefix,
+    kind: 'non_idempotent',
+    timeoutMs: 3000,
+    targetDurationMs: 1000,
+    priority,
+    service: 'service',
+    maxAttempts: 3,
+    slackFactor: 2,
+  })),
   services: [{ name: 'service', rejectsOverload: false }],
   limits: {},
 };
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -5,6 +5,7 @@
 const MAX_LISTED_ENDS = 500;
 const STOP_MS = 100;
 const SAVE_MS = 500;
+const STARTUP_MS = 500;
 
 /** One life of a runner. Its clock and the numbers of its ends begin anew. */
 class Life {
@@ -59,6 +60,13 @@
     return savedMs === 0 ? '' : String(savedMs);
   }
 
+  percentOf(run) {
+    const workedMs = run.resumedMs + performance.now() - run.startedAt;
+    // A task that lasts is at work after its startup.
+    if (run.lasts) return workedMs < STARTUP_MS ? 0 : 100;
+    return Math.min(99, Math.floor((workedMs * 100) / run.workMs));
+  }
+
   async serve(request, response) {
     const chunks = [];
     try {
@@ -109,13 +117,15 @@
       resumedMs,
       saves: terms.saves === true,
       workMs: terms.workMs,
+      lasts: terms.lasts === true,
     };
     const index = Number(task.split('.').at(-1));
     const fails = run === 1 && (terms.failsFirst ?? []).includes(index);
-    started.timer = setTimeout(
-      () => this.end(started, fails ? 'failed' : 'done'),
-      fails ? terms.workMs / 2 : terms.workMs - resumedMs,
-    );
+    if (!started.lasts)
+      started.timer = setTimeout(
+        () => this.end(started, fails ? 'failed' : 'done'),
+        fails ? terms.workMs / 2 : terms.workMs - resumedMs,
+      );
     this.running.set(task, started);
     this.worker.note(`start ${task} run=${run} checkpoint=${checkpoint ?? ''}`);
     this.worker.onStart?.(started);
@@ -146,10 +156,7 @@
       run.task,
       run.run,
       run.saves ? this.savedOf(run) : '',
-      Math.min(
-        99,
-        Math.floor(((run.resumedMs + performance.now() - run.startedAt) * 100) / run.workMs),
-      ),
+      this.percentOf(run),
       0,
     ]);
     answer(200, { born: this.born, running, finished: this.finished.slice(0, MAX_LISTED_ENDS) });
