--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -34,8 +34,16 @@
 /**
  * `onStop` registers what ends the parts again. `processes`: their number. `workers`: the number of runners.
  * `cpuOf`: the processors of a runner, in thousandths of a core, by its index.
+ * `kindOf`: its first label.
  */
-export async function startCell({ add, onStop, workers: workerCount = 6, processes = 3, cpuOf }) {
+export async function startCell({
+  add,
+  onStop,
+  workers: workerCount = 6,
+  processes = 3,
+  cpuOf,
+  kindOf,
+}) {
   const store = new Store({ host: HOST });
   await store.start();
   onStop(() => store.stop());
@@ -52,6 +60,7 @@
       rack: `r${index % 2}`,
       record: add,
       ...(cpuOf === undefined ? {} : { cpu: cpuOf(index) }),
+      ...(kindOf === undefined ? {} : { kind: kindOf(index) }),
     });
     history.watch(worker);
     await worker.start();
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -177,8 +177,9 @@
 
 /** A runner behind its address. Callers keep their connections when it loses power, without a reset. */
 export class Worker {
-  constructor({ id, host, store, service, zone, rack, cpu = 32_000, maxHoldMs = 10_000, record }) {
-    Object.assign(this, { id, host, store, service, zone, rack, cpu, maxHoldMs, record });
+  constructor(terms) {
+    const defaults = { kind: 'a', cpu: 32_000, maxHoldMs: 10_000 };
+    Object.assign(this, defaults, terms);
     this.sockets = new Set();
     this.sequence = 0;
     this.front = createServer((socket) => this.accept(socket));
@@ -213,7 +214,7 @@
       state: 'ready',
       coldRemainingMs: 0,
       capacity: { cpu: this.cpu, memMb: 65_536 },
-      labels: ['a', this.rack],
+      labels: [this.kind, this.rack],
       born: this.life.born,
       clockMs: this.life.clockMs(),
       sequence: this.sequence,
