Let a task go back to the worker on which it failed

Cause: packTasks kept a task away from the worker of its newest run once it had failed, as long as the step had any other candidate, also one that is too small, denied by the advice service or full of tasks that last. The first task without a worker then ended the loop for the step.

Why this works: avoiding a worker is a preference with a bound. Another worker comes first if it can take the task now; the task goes back at once if no other worker could ever run it, and after a second otherwise. A task that waits for another worker no longer ends the search for the tasks behind it.

The wait has the reason failed-there; start-decided gives the number of tasks that went back as onFailedWorker.

Ruled out: ejection of the worker (one failure ejects none), and the start budget.

--- a/packages/bench/src/plan/create-loaded-cell.ts
+++ b/packages/bench/src/plan/create-loaded-cell.ts
@@ -91,7 +91,7 @@
     },
     waitingTasks: Array.from({ length: TASKS_PER_STEP }, (_, index) => index),
     tasksByWorker: new Map(),
-    failedOn: new Map(),
+    failedRuns: new Map(),
     dueMs: -random.integer(0, 10_000),
     objectiveAtMs: random.integer(500, 12_000),
     remainingMs: estimateMs,
--- a/packages/bench/src/plan/simulate-load.ts
+++ b/packages/bench/src/plan/simulate-load.ts
@@ -325,7 +325,7 @@
         runs: new Set(),
         waitingTasks: Array.from({ length: draft.width }, (_, index) => index),
         tasksByWorker: new Map(),
-        failedOn: new Map(),
+        failedRuns: new Map(),
         dueMs: atMs,
         objectiveAtMs: estimatedObjectiveMs,
         remainingMs: sumWithAdvice(estimatesMs.slice(position)),
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -147,6 +147,8 @@
     const decidedAt = Instant.create(this.context.clock);
     const records: CellRecord[] = [];
     const workersByStep = new Map<string, string[]>();
+    /** Number of starts on a worker on which the task has failed, by step. */
+    const returnsByStep = new Map<string, number>();
     for (const { key, index, worker } of starts) {
       const step = stepsByKey.get(key);
       const task = `${key}.${index}`;
@@ -162,6 +164,8 @@
       this.readySteps.markChanged(taskEntry.progress.job.id);
       records.push({ kind: 'start', task, run, worker });
       workersByStep.set(key, [...(workersByStep.get(key) ?? []), worker]);
+      if (step.failedRuns.get(index)?.workers.includes(worker) === true)
+        returnsByStep.set(key, (returnsByStep.get(key) ?? 0) + 1);
     }
     for (const [key, workers] of workersByStep)
       this.context.log('info', 'start-decided', {
@@ -170,6 +174,7 @@
         priority: stepsByKey.get(key)?.queue.priority,
         tasks: workers.length,
         worker: workers[0],
+        ...(returnsByStep.has(key) ? { onFailedWorker: returnsByStep.get(key) } : {}),
         waitedMs: Math.round(nowMs - (stepsByKey.get(key)?.dueMs ?? nowMs)),
       });
     this.context.count('starts_total', records.length);
--- a/packages/cell-owner/src/ready-step-index.test.ts
+++ b/packages/cell-owner/src/ready-step-index.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { plainStep } from '@acaciahoist/cell-types/plain-step';
 import type { CellJob } from '@acaciahoist/cell-types';
+import type { FailedRuns } from '@acaciahoist/cell-planner/failed-runs';
 import { CellState } from '@acaciahoist/cell-state';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
 import { ReadyStepIndex } from './ready-step-index.js';
@@ -30,6 +31,8 @@
   proposedWorkers: Map<string, string>;
   /** Lists each ready step as its key and its waiting tasks. */
   listKeys: (wallMs: number) => string[];
+  /** Lists the failed runs of the waiting tasks. */
+  listFailedRuns: (nowMs: number) => FailedRuns[];
 } {
   const state = CellState.create(1_000);
   const proposedWorkers = new Map<string, string>();
@@ -54,6 +57,10 @@
       index
         .list({ wallMs, monotonicMs: wallMs })
         .map(({ key, waitingTasks }) => `${key}:${waitingTasks.join(',')}`),
+    listFailedRuns: (nowMs) =>
+      index
+        .list({ wallMs: nowMs, monotonicMs: nowMs })
+        .flatMap(({ failedRuns }) => [...failedRuns.values()]),
   };
 }
 
@@ -114,3 +121,22 @@
   const [later] = index.list({ wallMs: 90_000, monotonicMs: 60 });
   expect(later?.dueMs).toEqual(first?.dueMs ?? 0);
 });
+
+// Guards against a failed task that waits without end, because the time since which it waits moves with each record
+// of its job, and against one that goes back to the worker of an earlier failure.
+test('a ready step names all workers on which a task has failed, and since when it waits', () => {
+  const { apply, listFailedRuns } = setUp();
+  apply({ kind: 'job', job: createJob(ID, { queue: { ...createJob(ID).queue, maxAttempts: 9 } }) });
+  const runOn = (run: number, worker: string, how: 'failed' | 'lost'): void => {
+    apply({ kind: 'start', task: `${ID}.0.0.0`, run, worker });
+    apply({ kind: 'end', task: `${ID}.0.0.0`, run, how, saved: '' });
+  };
+  runOn(1, 'w1', 'failed');
+  runOn(2, 'w2', 'failed');
+  runOn(3, 'w3', 'lost');
+  expect(listFailedRuns(1_000)).toEqual([{ workers: ['w1', 'w2'], waitingSinceMs: 1_000 }]);
+  apply({ kind: 'start', task: `${ID}.0.0.1`, run: 1, worker: 'w4' });
+  expect(listFailedRuns(1_500)).toEqual([{ workers: ['w1', 'w2'], waitingSinceMs: 1_000 }]);
+  runOn(4, 'w1', 'failed');
+  expect(listFailedRuns(2_000)).toEqual([{ workers: ['w2', 'w1'], waitingSinceMs: 2_000 }]);
+});
--- a/packages/cell-owner/src/ready-step-index.ts
+++ b/packages/cell-owner/src/ready-step-index.ts
@@ -1,3 +1,4 @@
+import type { FailedRuns } from '@acaciahoist/cell-planner/failed-runs';
 import type { ReadyStep } from '@acaciahoist/cell-planner/ready-step';
 import type { StepAdvice } from '@acaciahoist/cell-planner/step-advice';
 import type { CellState } from '@acaciahoist/cell-state';
@@ -25,6 +26,18 @@
   criticalPathsMs: readonly number[];
   /** Monotonic time at which each occurrence became due, as computed when it was first listed. */
   dueSinceMs: Map<number, number>;
+  /**
+   * Monotonic time since which a task that has failed waits to be started again, by its name and the number of its
+   * newest run.
+   */
+  waitingSinceMs: ReadonlyMap<string, number>;
+}
+
+/** Times since which tasks that have failed wait: as computed before, and as they are computed now. */
+interface WaitingSince {
+  nowMs: number;
+  former: ReadonlyMap<string, number>;
+  current: Map<string, number>;
 }
 
 /**
@@ -74,11 +87,23 @@
     const previous = this.indexedJobs.get(id);
     const criticalPathsMs = previous?.criticalPathsMs ?? computeCriticalPaths(progress.job);
     const dueSinceMs = previous?.dueSinceMs ?? new Map<number, number>();
-    const readySteps = this.listReadySteps(progress, criticalPathsMs, dueSinceMs, now);
+    const waitingSince: WaitingSince = {
+      nowMs: now.monotonicMs,
+      former: previous?.waitingSinceMs ?? new Map<string, number>(),
+      current: new Map<string, number>(),
+    };
+    const readySteps = this.listReadySteps(
+      progress,
+      criticalPathsMs,
+      dueSinceMs,
+      waitingSince,
+      now,
+    );
     this.indexedJobs.set(id, {
       readySteps,
       criticalPathsMs,
       dueSinceMs,
+      waitingSinceMs: waitingSince.current,
     });
   }
 
@@ -86,6 +111,7 @@
     progress: JobProgress,
     criticalPathsMs: readonly number[],
     dueSinceMs: Map<number, number>,
+    waitingSince: WaitingSince,
     now: CurrentTime,
   ): ReadyStep[] {
     const { job } = progress;
@@ -112,6 +138,7 @@
           stepProgress,
           criticalPathsMs,
           occurrenceDueSinceMs,
+          waitingSince,
         );
         if (readyStep !== undefined) readySteps.push(readyStep);
       }
@@ -126,6 +153,7 @@
     stepProgress: StepProgress,
     criticalPathsMs: readonly number[],
     dueMs: number,
+    waitingSince: WaitingSince,
   ): ReadyStep | undefined {
     const { job } = progress;
     const step = job.steps[index];
@@ -140,14 +168,21 @@
     const key = `${job.id}.${occurrence}.${index}`;
     const waitingTasks: number[] = [];
     const tasksByWorker = new Map<string, number>();
-    const failedOn = new Map<number, string>();
+    const failedRuns = new Map<number, FailedRuns>();
     for (const [taskIndex, task] of stepProgress.tasks.entries()) {
       if (task.phase === 'done') continue;
       const worker =
         task.phase === 'placed' ? task.worker : this.options.proposedWorker(`${key}.${taskIndex}`);
-      if (task.failures > 0) failedOn.set(taskIndex, task.worker);
-      if (worker === undefined) waitingTasks.push(taskIndex);
-      else tasksByWorker.set(worker, (tasksByWorker.get(worker) ?? 0) + 1);
+      if (worker !== undefined) {
+        tasksByWorker.set(worker, (tasksByWorker.get(worker) ?? 0) + 1);
+        continue;
+      }
+      waitingTasks.push(taskIndex);
+      if (task.failures === 0) continue;
+      const runKey = `${key}.${taskIndex}/${task.run}`;
+      const waitingSinceMs = waitingSince.former.get(runKey) ?? waitingSince.nowMs;
+      waitingSince.current.set(runKey, waitingSinceMs);
+      failedRuns.set(taskIndex, { workers: task.failedWorkers ?? [task.worker], waitingSinceMs });
     }
     if (waitingTasks.length === 0 || (step.gang && waitingTasks.length < step.count))
       return undefined;
@@ -158,7 +193,7 @@
       step,
       waitingTasks,
       tasksByWorker,
-      failedOn,
+      failedRuns,
       dueMs,
       objectiveAtMs: dueMs + job.queue.stretch * jobCriticalPathMs + job.queue.baseMs,
       remainingMs: criticalPathsMs[index] ?? 0,
--- a/packages/cell-owner/src/wait-texts.ts
+++ b/packages/cell-owner/src/wait-texts.ts
@@ -22,6 +22,8 @@
   'limit-per-worker':
     'the workers with room already run as many tasks of the step as it permits on one worker',
   'no-room-for-gang': 'the allowed workers have no room for all tasks of the gang at once',
+  'failed-there':
+    'only workers on which its tasks have failed have room, and others that could run them come first for a second',
   'tickets-expired': 'the tickets for the workers with room have expired',
   'behind-others': 'the room goes to more urgent steps or is reserved for a gang',
 };
--- a/packages/cell-planner/src/explain-wait.test.ts
+++ b/packages/cell-planner/src/explain-wait.test.ts
@@ -55,6 +55,13 @@
       'no-room-for-gang',
       explain(gang, [createWorker('w'), createWorker('x', { freeMillicores: 0 })]),
     ],
+    [
+      'failed-there',
+      explain(
+        createStep('a', { failedRuns: new Map([[0, { workers: ['w'], waitingSinceMs: 0 }]]) }),
+        [createWorker('w'), createWorker('x', { freeMillicores: 0 })],
+      ),
+    ],
     ['tickets-expired', explain(advised({ allowed: new Map([['w', 50]]) }), [createWorker('w')])],
   ];
   expect(cases.map(([, wait]) => wait.reason)).toEqual(cases.map(([reason]) => reason as never));
--- a/packages/cell-planner/src/explain-wait.ts
+++ b/packages/cell-planner/src/explain-wait.ts
@@ -66,7 +66,16 @@
     if (step.step.gang && !isRoomForGang) return WaitReason.noRoomForGang;
     if (withRoom.length === 0) return WaitReason.noRoom;
     if (withRoomBelowLimit.length === 0) return WaitReason.limitPerWorker;
-    return withTicket.length === 0 ? WaitReason.ticketsExpired : WaitReason.behindOthers;
+    if (withTicket.length === 0) return WaitReason.ticketsExpired;
+    return step.waitingTasks.every((index) => hasFailedOnAll(withTicket, index))
+      ? WaitReason.failedThere
+      : WaitReason.behindOthers;
+  }
+
+  /** Returns whether the task has failed on each of the workers. */
+  function hasFailedOnAll(candidates: readonly PlannedWorker[], index: number): boolean {
+    const failedWorkers = step.failedRuns.get(index)?.workers ?? [];
+    return candidates.every((worker) => failedWorkers.includes(worker.id));
   }
 
   function hasLabel(worker: PlannedWorker): boolean {
--- a/packages/cell-planner/src/pack-tasks.ts
+++ b/packages/cell-planner/src/pack-tasks.ts
@@ -1,3 +1,4 @@
+import type { FailedRuns } from './failed-runs.js';
 import { fits } from './fits.js';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
@@ -14,7 +15,8 @@
  * Assigns waiting tasks to workers, at most `maxTasks` of them, and subtracts their demand. Load
  * pattern: many tasks of unequal demand on workers that are nearly full. Each task goes to the
  * worker on which it leaves the least free capacity, so that large amounts of free capacity remain
- * for large tasks.
+ * for large tasks. A task goes back to a worker on which it has failed only if no other candidate
+ * can take it now and `mayReturn` allows it.
  */
 export function packTasks(
   step: ReadyStep,
@@ -22,6 +24,7 @@
   candidates: readonly PlannedWorker[],
   ledger: CapacityLedger,
   maxTasks: number,
+  mayReturn: (failedRuns: FailedRuns) => boolean,
 ): { index: number; worker: string }[] {
   const assignments: { index: number; worker: string }[] = [];
   const maxPerWorker =
@@ -29,24 +32,42 @@
   const tasksByWorker = new Map(step.tasksByWorker);
   const canTake = (worker: PlannedWorker): boolean =>
     (tasksByWorker.get(worker.id) ?? 0) < maxPerWorker && fits(ledger.capacityFor(worker), demand);
+  const findWorker = (avoided: readonly string[]): PlannedWorker | undefined =>
+    findBestWorker(
+      step,
+      demand,
+      candidates,
+      (worker) => !avoided.includes(worker.id) && canTake(worker),
+    );
+  /** Sets of avoided workers beside which no candidate can take another task in this round. */
+  const exhaustedSets = new Set<string>();
   let bestWorker: PlannedWorker | undefined;
   for (const index of step.waitingTasks) {
-    const failedOn = candidates.length > 1 ? step.failedOn.get(index) : undefined;
     if (assignments.length >= maxTasks) break;
+    const failedRuns = step.failedRuns.get(index);
+    const avoided = failedRuns?.workers ?? [];
     // The best worker stays the best until it is full: with each task it has less free capacity.
-    if (bestWorker === undefined || bestWorker.id === failedOn || !canTake(bestWorker))
-      bestWorker = findBestWorker(
-        step,
-        demand,
-        candidates,
-        (worker) => worker.id !== failedOn && canTake(worker),
-      );
-    if (bestWorker === undefined) break;
-    ledger.subtract(bestWorker, demand);
-    tasksByWorker.set(bestWorker.id, (tasksByWorker.get(bestWorker.id) ?? 0) + 1);
-    assignments.push({ index, worker: bestWorker.id });
-    // For the next task, the worker on which this one failed may be the best.
-    if (failedOn !== undefined) bestWorker = undefined;
+    let worker =
+      bestWorker !== undefined && !avoided.includes(bestWorker.id) && canTake(bestWorker)
+        ? bestWorker
+        : undefined;
+    const setKey = avoided.join('\n');
+    if (worker === undefined && !exhaustedSets.has(setKey)) {
+      worker = findWorker(avoided);
+      if (worker === undefined) exhaustedSets.add(setKey);
+    }
+    if (worker === undefined) {
+      // A task that avoids no worker shows that no candidate can take any task of the step.
+      if (failedRuns === undefined) break;
+      if (!mayReturn(failedRuns)) continue;
+      worker = findWorker([]);
+      if (worker === undefined) break;
+    }
+    ledger.subtract(worker, demand);
+    tasksByWorker.set(worker.id, (tasksByWorker.get(worker.id) ?? 0) + 1);
+    assignments.push({ index, worker: worker.id });
+    // For the next task, a worker that this one avoids may be the best.
+    bestWorker = avoided.length === 0 ? worker : undefined;
   }
   return assignments;
 }
--- a/packages/cell-planner/src/plan-cell.test.ts
+++ b/packages/cell-planner/src/plan-cell.test.ts
@@ -97,7 +97,8 @@
 
 // Guards against a failing worker that alone uses up all attempts of a task.
 test('the planner starts a failed task on another worker when there is one', () => {
-  const failed = createStep('a', { failedOn: new Map([[0, 'w0']]) });
+  const failedRuns = new Map([[0, { workers: ['w0'], waitingSinceMs: 0 }]]);
+  const failed = createStep('a', { failedRuns });
   const workers = [createWorker('w0', { freeMillicores: 1_500 }), createWorker('w1')];
   expect(planCell([failed], workers, 0).starts).toEqual([{ key: 'a', index: 0, worker: 'w1' }]);
   expect(planCell([failed], [createWorker('w0')], 0).starts.length).toEqual(1);
--- a/packages/cell-planner/src/plan-cell.ts
+++ b/packages/cell-planner/src/plan-cell.ts
@@ -1,4 +1,5 @@
 import { chooseNamedWorkers } from './choose-named-workers.js';
+import type { FailedRuns } from './failed-runs.js';
 import { fits } from './fits.js';
 import { orderUnderOverload } from './order-under-overload.js';
 import { packTasks } from './pack-tasks.js';
@@ -32,6 +33,11 @@
  * before the worker checks the ticket.
  */
 const TICKET_MARGIN_MS = 150;
+/**
+ * Maximum time in ms for which a task waits for a worker on which it has not failed while one on which it has
+ * could take it. Workers that could run it may be full of tasks that last.
+ */
+const MAX_AVOIDANCE_MS = 1_000;
 /** Renewed tickets of a gang should arrive this long before its reserved capacity is free. */
 const REQUEST_LEAD_MS = 250;
 const UNLIMITED_BUDGET: RoundBudget = {
@@ -116,7 +122,14 @@
     workersWithTicket: readonly PlannedWorker[],
     ledger: CapacityLedger,
   ): void {
-    const assignments = packTasks(step, demand, workersWithTicket, ledger, budget.starts);
+    const assignments = packTasks(
+      step,
+      demand,
+      workersWithTicket,
+      ledger,
+      budget.starts,
+      (failedRuns) => mayReturn(step, demand, failedRuns),
+    );
     for (const start of assignments) starts.push({ key: step.key, ...start });
     budget.starts -= assignments.length;
     if (assignments.length === step.waitingTasks.length || !mayRequestAdvice(step)) return;
@@ -171,6 +184,20 @@
       requestAdvice(step, demand);
   }
 
+  /** Returns whether a task may go back to the workers on which its runs have failed. */
+  function mayReturn(step: ReadyStep, demand: Capacity, failedRuns: FailedRuns): boolean {
+    if (nowMs - failedRuns.waitingSinceMs >= MAX_AVOIDANCE_MS) return true;
+    const couldRunElsewhere = workerIndex
+      .listEligible(step)
+      .some(
+        (worker) =>
+          !failedRuns.workers.includes(worker.id) &&
+          step.advice?.denied.has(worker.id) !== true &&
+          fits(worker.total, demand),
+      );
+    return !couldRunElsewhere;
+  }
+
   /** Returns whether a worker that no advice request has named yet has free capacity for a task. */
   function hasUnnamedWorkerWithFreeCapacity(
     step: ReadyStep,
--- a/packages/cell-planner/src/planner-fixture.ts
+++ b/packages/cell-planner/src/planner-fixture.ts
@@ -37,7 +37,7 @@
       queue: { name: 'q', service: 'work', priority: 1, maxAttempts: 2, stretch: 2, baseMs: 1_000 },
       waitingTasks: Array.from({ length: count }, (_, index) => index),
       tasksByWorker: new Map(),
-      failedOn: new Map(),
+      failedRuns: new Map(),
       dueMs: 0,
       objectiveAtMs: 5_000,
       remainingMs: 1_000,
--- a/packages/cell-planner/src/ready-step.ts
+++ b/packages/cell-planner/src/ready-step.ts
@@ -1,5 +1,6 @@
 import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { QueueTerms } from '@acaciahoist/cell-types/queue-terms';
+import type { FailedRuns } from './failed-runs.js';
 import type { StepAdvice } from './step-advice.js';
 
 /**
@@ -15,11 +16,8 @@
   waitingTasks: readonly number[];
   /** Number of tasks of the step on each worker, which `maxPerWorker` limits. */
   tasksByWorker: ReadonlyMap<string, number>;
-  /**
-   * Worker of the last failed run of a waiting task, by index of the task; other workers are tried
-   * first.
-   */
-  failedOn: ReadonlyMap<number, string>;
+  /** Failed runs of the waiting tasks, by index of the task; other workers are tried first. */
+  failedRuns: ReadonlyMap<number, FailedRuns>;
   /** Time from which the job may run: its acceptance or the scheduled time of the occurrence. */
   dueMs: number;
   /** Deadline by which the job must end to have its full value. */
--- a/packages/cell-planner/src/wait-reason.ts
+++ b/packages/cell-planner/src/wait-reason.ts
@@ -36,6 +36,10 @@
   limitPerWorker: 'limit-per-worker',
   /** The allowed workers have no room for all tasks of the gang at once. */
   noRoomForGang: 'no-room-for-gang',
+  /**
+   * Only workers on which its tasks have failed have room; for a second others that could run them come first.
+   */
+  failedThere: 'failed-there',
   /** The tickets for the workers with room have expired. */
   ticketsExpired: 'tickets-expired',
   /** The room goes to more urgent steps or is reserved for a gang. */
--- a/packages/cell-state/src/cell-state.test.ts
+++ b/packages/cell-state/src/cell-state.test.ts
@@ -339,6 +339,30 @@
   expect(earlier.unpack(recordCodec.encode(renewal)) as CellRecord).toEqual(renewal);
 });
 
+// Guards against a successor that sends a task back to the first of several workers on which it has failed.
+test('the state keeps the newest workers on which a task has failed, also in a snapshot', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: createJob({}, 20) });
+  for (let run = 1; run <= 10; run += 1) {
+    state.apply({ ...createStart(0, run), worker: `w${run}` });
+    state.apply(createEnd(0, RunEnd.failed, run));
+  }
+  state.apply({ ...createStart(0, 11), worker: 'w5' });
+  state.apply(createEnd(0, RunEnd.failed, 11));
+  const restored = snapshotCodec.decode(snapshotCodec.encode(state), 1_000);
+  expect(restored.findTask(`${id}.0.0.0`)?.task.failedWorkers).toEqual([
+    'w3',
+    'w4',
+    'w6',
+    'w7',
+    'w8',
+    'w9',
+    'w10',
+    'w5',
+  ]);
+  expect(restored.findTask(`${id}.0.0.1`)?.task.failedWorkers).toEqual(undefined);
+});
+
 // Guards against a snapshot that loses or changes a part of the state.
 test('the snapshot codec restores the state that it has encoded', () => {
   const state = CellState.create(1_000);
--- a/packages/cell-state/src/cell-state.ts
+++ b/packages/cell-state/src/cell-state.ts
@@ -18,6 +18,9 @@
  */
 const MAX_INCARNATIONS = 4_096;
 
+/** Maximum number of workers that are kept for each task on which it has failed, the newest ones. */
+const MAX_FAILED_WORKERS = 8;
+
 /**
  * Maximum number by which a token or a run number may exceed the offset of its record. Each new one is one above
  * the newest, so that those of this system never exceed the number of records; above the largest number of
@@ -282,6 +285,8 @@
     if (isGang && stepProgress.lastFailedRun === run) return;
     stepProgress.lastFailedRun = run;
     task.failures += 1;
+    const otherWorkers = (task.failedWorkers ?? []).filter((worker) => worker !== task.worker);
+    task.failedWorkers = [...otherWorkers, task.worker].slice(-MAX_FAILED_WORKERS);
     stepProgress.gangFailures += 1;
     const failures = isGang ? stepProgress.gangFailures : task.failures;
     if (failures >= progress.job.queue.maxAttempts) this.finishJob(progress.job.id, 'failed');
--- a/packages/cell-state/src/snapshot-shape.ts
+++ b/packages/cell-state/src/snapshot-shape.ts
@@ -15,6 +15,7 @@
   worker: text,
   born: optional(number),
   failures: integerFrom(0),
+  failedWorkers: optional(listOf(text)),
   checkpoint: text,
 });
 
--- a/packages/cell-state/src/task-progress.ts
+++ b/packages/cell-state/src/task-progress.ts
@@ -13,6 +13,8 @@
   born: number;
   /** Number of failures that were counted for this task. */
   failures: number;
+  /** Workers on which these failures happened; undefined before the first and in earlier versions. */
+  failedWorkers?: string[] | undefined;
   /** Newest durable checkpoint; empty when there is none. */
   checkpoint: string;
 }
