Let a step use an ejected worker when it can run nowhere else

Callers would see prompt jobs and gangs wait for up to 22.5 s, and other jobs for 2.5 to 10 s, while the only worker that can run them is idle but ejected or on probation.

Cause: acceptsStarts and canRunOn exclude such workers, whether or not another worker could ever run the step by label, size, advice, or because tasks that last fill it.

Why this works: the index adds ejected workers to the list of a step only if its tasks would not fit on the others even after all runs that end have ended. Each gets one run at a time, as on probation, so that a worker that fails all its runs takes no work that another one could do.

--- a/packages/bench/src/plan/create-loaded-cell.ts
+++ b/packages/bench/src/plan/create-loaded-cell.ts
@@ -56,9 +56,11 @@
     labels: [],
     total: WORKER_CAPACITY,
     free,
+    eventuallyFree: WORKER_CAPACITY,
     listRuns: () => runs,
     acceptsStarts: true,
     isOnProbation: false,
+    isLastResort: false,
   };
 }
 
--- a/packages/bench/src/plan/simulate-load.ts
+++ b/packages/bench/src/plan/simulate-load.ts
@@ -119,6 +119,7 @@
         labels: [],
         total: WORKER_CAPACITY,
         free: { ...WORKER_CAPACITY },
+        eventuallyFree: WORKER_CAPACITY,
         listRuns: () =>
           [...(this.runsByWorker.get(id) ?? [])].map((run) => ({
             endsInMs: Math.max(0, run.startedAtMs + run.step.step.estimateMs - this.nowMs),
@@ -126,6 +127,7 @@
           })),
         acceptsStarts: true,
         isOnProbation: false,
+        isLastResort: false,
       };
     });
   }
--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -116,7 +116,9 @@
       const { entry, id } = session;
       const { millicores, memoryMib, accelerators } = entry;
       const free = { millicores, memoryMib, accelerators };
+      const eventuallyFree = { ...free };
       runs.usedCapacity.subtractFrom(free, id);
+      runs.longRunningCapacity.subtractFrom(eventuallyFree, id);
       proposals.usedCapacity.subtractFrom(free, id);
       workers.push({
         id,
@@ -125,6 +127,7 @@
         labels: entry.labels,
         total: entry,
         free,
+        eventuallyFree,
         listRuns: () =>
           [...runs.listOn(id)].map((trackedRun) => ({
             endsInMs: estimateRemainingMs(trackedRun, nowMs),
@@ -132,6 +135,7 @@
           })),
         acceptsStarts: session.isStartable() && workerHealth.mayGetStarts(id, runs.listOn(id)),
         isOnProbation: workerHealth.fitnessOf(id) === 'probation',
+        isLastResort: session.isStartable() && workerHealth.mayGetTrial(id, runs.listOn(id)),
       });
     }
     return workers;
--- a/packages/cell-owner/src/run-table.ts
+++ b/packages/cell-owner/src/run-table.ts
@@ -1,6 +1,8 @@
 import type { CellState } from '@acaciahoist/cell-state';
+import type { LeftoverRun } from '@acaciahoist/cell-state/leftover-run';
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { computeDemand } from '@acaciahoist/cell-planner/compute-demand';
+import type { CellStep } from '@acaciahoist/cell-types/cell-step';
 import type { TrackedRun } from './tracked-run.js';
 import { UsedCapacity } from './used-capacity.js';
 
@@ -17,6 +19,8 @@
   private readonly byWorker = new Map<string, Map<string, TrackedRun>>();
   /** Capacity that the runs use. */
   readonly usedCapacity = UsedCapacity.create();
+  /** Capacity that the long-running ones among them use. */
+  readonly longRunningCapacity = UsedCapacity.create();
 
   private constructor(private readonly state: CellState) {}
 
@@ -44,6 +48,8 @@
       this.byWorker.set(trackedRun.worker, (runs = new Map<string, TrackedRun>()));
     runs.set(trackedRun.task, trackedRun);
     this.usedCapacity.add(trackedRun.worker, trackedRun.demand);
+    if (trackedRun.isLongRunning)
+      this.longRunningCapacity.add(trackedRun.worker, trackedRun.demand);
   }
 
   remove(task: string): void {
@@ -51,6 +57,8 @@
     if (trackedRun === undefined) return;
     this.byTask.delete(task);
     this.usedCapacity.remove(trackedRun.worker, trackedRun.demand);
+    if (trackedRun.isLongRunning)
+      this.longRunningCapacity.remove(trackedRun.worker, trackedRun.demand);
     const runs = this.byWorker.get(trackedRun.worker);
     runs?.delete(task);
     if (runs?.size === 0) this.byWorker.delete(trackedRun.worker);
@@ -66,15 +74,16 @@
           stepProgress.tasks.forEach((task, index) => {
             if (task.phase !== 'placed') return;
             const name = taskName.format({ job: progress.job.id, occurrence, step, index });
-            const demand = computeDemand(definition);
-            this.add(createInheritedRun(name, task, demand, definition.estimateMs, nowMs));
+            this.add(createInheritedRun(name, task, definition, nowMs));
           });
         });
       });
     }
     for (const ended of this.state.ended.values()) {
       for (const [name, run] of ended.leftovers)
-        this.add(createInheritedRun(name, run, computeDemand(run.size), 0, nowMs));
+        this.add(
+          createInheritedRun(name, run, { ...run.size, estimateMs: 0, longRunning: false }, nowMs),
+        );
     }
   }
 }
@@ -83,8 +92,7 @@
 function createInheritedRun(
   task: string,
   { run, worker, born }: Pick<TrackedRun, 'run' | 'worker' | 'born'>,
-  demand: TrackedRun['demand'],
-  estimateMs: number,
+  step: LeftoverRun['size'] & Pick<CellStep, 'estimateMs' | 'longRunning'>,
   nowMs: number,
 ): TrackedRun {
   return {
@@ -92,11 +100,12 @@
     run,
     worker,
     born,
-    demand,
+    demand: computeDemand(step),
+    isLongRunning: step.longRunning,
     phase: 'inherited',
     trackedSinceMs: nowMs,
     startSettledAtMs: nowMs,
-    estimateMs,
+    estimateMs: step.estimateMs,
     percent: 0,
     lastProgressAtMs: nowMs,
     checkpoint: '',
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -33,6 +33,7 @@
       worker: record.worker,
       born: taskEntry.task.born,
       demand: proposal?.demand ?? computeDemand(step),
+      isLongRunning: step.longRunning,
       phase: 'sending',
       trackedSinceMs: nowMs,
       startSettledAtMs: nowMs,
--- a/packages/cell-owner/src/tracked-run.ts
+++ b/packages/cell-owner/src/tracked-run.ts
@@ -8,6 +8,8 @@
   /** Incarnation of the worker for which the run was decided: its start as Unix ms; 0 when unknown. */
   born: number;
   demand: Capacity;
+  /** True for a run that does not end by itself. */
+  isLongRunning: boolean;
   /**
    * `sending`: the start call is outstanding. `running`: the worker has confirmed the run. `unknown`: the
    * start got no reply and may still be executed. `inherited`: a predecessor recorded the run and the worker
--- a/packages/cell-owner/src/worker-health.ts
+++ b/packages/cell-owner/src/worker-health.ts
@@ -106,8 +106,19 @@
    */
   mayGetStarts(worker: string, runs: Iterable<{ trackedSinceMs: number }>): boolean {
     const fitness = this.fitnessOf(worker);
-    if (fitness !== 'probation') return fitness === 'full';
-    const sinceMs = this.ejections.get(worker)?.untilMs ?? 0;
+    return fitness === 'full' || (fitness === 'probation' && this.mayGetTrial(worker, runs));
+  }
+
+  /**
+   * Whether a worker that is ejected or on probation could get a run that tries it: not while one of `runs`, its
+   * runs, is such a one. An ejected worker gets one only as a last resort.
+   */
+  mayGetTrial(worker: string, runs: Iterable<{ trackedSinceMs: number }>): boolean {
+    const fitness = this.fitnessOf(worker);
+    const ejection = this.ejections.get(worker);
+    if (fitness === 'full' || ejection === undefined) return false;
+    const { untilMs, durationMs } = ejection;
+    const sinceMs = fitness === 'probation' ? untilMs : untilMs - durationMs;
     for (const { trackedSinceMs } of runs) if (trackedSinceMs >= sinceMs) return false;
     return true;
   }
--- a/packages/cell-planner/src/can-run-on.ts
+++ b/packages/cell-planner/src/can-run-on.ts
@@ -1,3 +1,4 @@
+import { hasLabel } from './has-label.js';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
 
@@ -8,5 +9,5 @@
 export function canRunOn(step: ReadyStep, worker: PlannedWorker): boolean {
   if (worker.service !== step.queue.service) return false;
   if (worker.isOnProbation && (step.queue.priority === 0 || step.step.gang)) return false;
-  return step.step.label === '' || worker.labels.includes(step.step.label);
+  return hasLabel(worker, step.step.label);
 }
--- a/packages/cell-planner/src/capacity-ledger.ts
+++ b/packages/cell-planner/src/capacity-ledger.ts
@@ -36,8 +36,8 @@
   /** Subtracts the demand of a planned start. */
   subtract(worker: PlannedWorker, demand: Capacity): void {
     adjustCapacity(worker.free, demand, -1);
-    // A worker on probation gets one task: no capacity is left for a second one.
-    if (worker.isOnProbation) adjustCapacity(worker.free, worker.free, -1);
+    // A worker on probation, or one that is the last resort, gets one task: no capacity is left for a second one.
+    if (worker.isOnProbation || worker.isLastResort) adjustCapacity(worker.free, worker.free, -1);
     for (const reservation of this.bindingReservations) {
       const spareCapacity = reservation.spareCapacity.get(worker.id);
       if (spareCapacity !== undefined) adjustCapacity(spareCapacity, demand, -1);
--- a/packages/cell-planner/src/explain-wait.ts
+++ b/packages/cell-planner/src/explain-wait.ts
@@ -1,7 +1,7 @@
-import { canRunOn } from './can-run-on.js';
 import type { Capacity } from './capacity.js';
 import { computeDemand } from './compute-demand.js';
 import { countFittingTasks } from './count-fitting-tasks.js';
+import { hasLabel } from './has-label.js';
 import { orderUnderOverload } from './order-under-overload.js';
 import { planCell } from './plan-cell.js';
 import type { PlannedWorker } from './planned-worker.js';
@@ -9,6 +9,7 @@
 import type { RoundBudget } from './round-budget.js';
 import type { StepWait } from './step-wait.js';
 import { WaitReason } from './wait-reason.js';
+import { WorkerIndex } from './worker-index.js';
 
 /**
  * Explains why a step among the ready ones waits: runs one planning round without effects, and counts the
@@ -24,8 +25,7 @@
   const { advice } = step;
   const demand = computeDemand(step.step);
   const ofService = workers.filter((worker) => worker.service === step.queue.service);
-  const runnable = ofService.filter((worker) => canRunOn(step, worker));
-  const startable = runnable.filter((worker) => worker.acceptsStarts);
+  const startable = WorkerIndex.create(workers).listEligible(step);
   const allowed =
     advice === undefined ? startable : startable.filter((worker) => advice.allowed.has(worker.id));
   const hasRoom = (worker: PlannedWorker): boolean => countFittingTasks(worker.free, demand, 1) > 0;
@@ -55,7 +55,7 @@
   function chooseReason(): WaitReason {
     if (plan.starts.some(({ key }) => key === step.key)) return WaitReason.startsNext;
     if (ofService.length === 0) return WaitReason.noWorkers;
-    if (!ofService.some(hasLabel)) return WaitReason.noLabel;
+    if (!ofService.some((worker) => hasLabel(worker, step.step.label))) return WaitReason.noLabel;
     if (startable.length === 0) return WaitReason.noneAccepts;
     if (!isLargeEnough) return WaitReason.tooLarge;
     if (advice !== undefined && allowed.length === 0)
@@ -77,10 +77,6 @@
     const failedWorkers = step.failedRuns.get(index)?.workers ?? [];
     return candidates.every((worker) => failedWorkers.includes(worker.id));
   }
-
-  function hasLabel(worker: PlannedWorker): boolean {
-    return step.step.label === '' || worker.labels.includes(step.step.label);
-  }
 }
 
 /** Counts the tasks that fit on the workers, or on those of the best rack if the step needs one rack. */
--- a/packages/cell-planner/src/plan-cell.ts
+++ b/packages/cell-planner/src/plan-cell.ts
@@ -193,7 +193,7 @@
         (worker) =>
           !failedRuns.workers.includes(worker.id) &&
           step.advice?.denied.has(worker.id) !== true &&
-          fits(worker.total, demand),
+          fits(worker.eventuallyFree, demand),
       );
     return !couldRunElsewhere;
   }
--- a/packages/cell-planner/src/planned-worker.ts
+++ b/packages/cell-planner/src/planned-worker.ts
@@ -12,6 +12,8 @@
   labels: readonly string[];
   total: Capacity;
   free: Capacity;
+  /** Capacity that is free once all runs that end by themselves have ended; long-running ones stay. */
+  eventuallyFree: Capacity;
   /**
    * Lists the runs on the worker in any order. Called only when capacity is reserved for a gang.
    */
@@ -23,4 +25,9 @@
    * neither to a prompt step nor to a gang.
    */
   isOnProbation: boolean;
+  /**
+   * True for an ejected worker or one on probation that could get one task: the last resort of a step for which the
+   * other workers never have room.
+   */
+  isLastResort: boolean;
 }
--- a/packages/cell-planner/src/planner-fixture.ts
+++ b/packages/cell-planner/src/planner-fixture.ts
@@ -19,9 +19,11 @@
       labels: [],
       total,
       free: { ...total, millicores: freeMillicores ?? total.millicores },
+      eventuallyFree: rest.total ?? total,
       listRuns: () => [],
       acceptsStarts: true,
       isOnProbation: false,
+      isLastResort: rest.isOnProbation ?? false,
       ...rest,
     };
   },
--- a/packages/cell-planner/src/worker-index.ts
+++ b/packages/cell-planner/src/worker-index.ts
@@ -1,7 +1,11 @@
+import { canHoldTasks } from './can-hold-tasks.js';
 import { canRunOn } from './can-run-on.js';
 import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
 import type { Capacity } from './capacity.js';
+import { computeDemand } from './compute-demand.js';
+import { fits } from './fits.js';
+import { hasLabel } from './has-label.js';
 
 /** Workers sorted by free processor capacity, and that capacity of each when they were sorted. */
 interface WorkersByFreeCpu {
@@ -23,14 +27,54 @@
   private readonly eligibleByKind = new Map<string, readonly PlannedWorker[]>();
   private readonly sortedByKind = new Map<string, WorkersByFreeCpu>();
   private readonly startableWorkers: readonly PlannedWorker[];
+  /** Workers that get a task only of a step that can run nowhere else. */
+  private readonly lastResorts: readonly PlannedWorker[];
 
   private constructor(workers: readonly PlannedWorker[]) {
     this.startableWorkers = workers.filter((worker) => worker.acceptsStarts);
     for (const worker of this.startableWorkers) this.byId.set(worker.id, worker);
+    this.lastResorts = workers.filter((worker) => worker.isLastResort);
   }
 
-  /** Lists the workers that can run tasks of the step, whether or not its advice allows them. */
+  /**
+   * Lists the workers that can run tasks of the step, whether or not its advice allows them. Ejection is a
+   * preference: if the step would never fit on the other workers, its list includes ejected ones and those on
+   * probation.
+   */
   listEligible(step: ReadyStep): readonly PlannedWorker[] {
+    const eligible = this.listPreferred(step);
+    const lastResorts = this.listLastResorts(step, eligible);
+    return lastResorts.length === 0 ? eligible : [...eligible, ...lastResorts];
+  }
+
+  private listLastResorts(
+    step: ReadyStep,
+    preferred: readonly PlannedWorker[],
+  ): readonly PlannedWorker[] {
+    if (this.lastResorts.length === 0) return [];
+    const demand = computeDemand(step.step);
+    const tasks = step.step.gang ? step.waitingTasks.length : 1;
+    const isAllowed = (worker: PlannedWorker): boolean =>
+      step.advice?.denied.has(worker.id) !== true;
+    const fitsPreferred = canHoldTasks(
+      step,
+      demand,
+      tasks,
+      preferred.filter(isAllowed),
+      (worker) => worker.eventuallyFree,
+    );
+    if (fitsPreferred) return [];
+    return this.lastResorts.filter(
+      (worker) =>
+        !preferred.includes(worker) &&
+        isAllowed(worker) &&
+        worker.service === step.queue.service &&
+        hasLabel(worker, step.step.label) &&
+        fits(worker.eventuallyFree, demand),
+    );
+  }
+
+  private listPreferred(step: ReadyStep): readonly PlannedWorker[] {
     const kind = formatKind(step);
     let eligible = this.eligibleByKind.get(kind);
     if (eligible === undefined) {
@@ -65,16 +109,12 @@
   }
 
   private sortByFreeCpu(step: ReadyStep): WorkersByFreeCpu {
+    const preferred = this.listPreferred(step);
+    const lastResorts = this.listLastResorts(step, preferred);
+    if (lastResorts.length > 0) return sortWorkers([...preferred, ...lastResorts]);
     const kind = formatKind(step);
     let sorted = this.sortedByKind.get(kind);
-    if (sorted === undefined) {
-      const workers = [...this.listEligible(step)].sort(
-        (left, right) =>
-          right.free.millicores - left.free.millicores || (left.id < right.id ? -1 : 1),
-      );
-      sorted = { workers, freeMillicores: workers.map((worker) => worker.free.millicores) };
-      this.sortedByKind.set(kind, sorted);
-    }
+    if (sorted === undefined) this.sortedByKind.set(kind, (sorted = sortWorkers(preferred)));
     return sorted;
   }
 
@@ -88,10 +128,20 @@
       const worker = this.byId.get(id);
       if (worker !== undefined && canRunOn(step, worker)) allowed.push(worker);
     }
+    if (this.lastResorts.length > 0)
+      for (const worker of this.listLastResorts(step, this.listPreferred(step)))
+        if (step.advice.allowed.has(worker.id)) allowed.push(worker);
     return allowed;
   }
 }
 
+function sortWorkers(workers: readonly PlannedWorker[]): WorkersByFreeCpu {
+  const sorted = [...workers].sort(
+    (left, right) => right.free.millicores - left.free.millicores || (left.id < right.id ? -1 : 1),
+  );
+  return { workers: sorted, freeMillicores: sorted.map((worker) => worker.free.millicores) };
+}
+
 /**
  * Formats the kind of a step: steps of one kind can run on the same workers as far as advice
  * allows.
