Name idle workers in advice requests before full ones

Callers would see a task wait without a bound while a worker that no advice request has named is idle.

Cause: a later request named all allowed workers first, up to its limit, so that with as many full ones as the limit no other was ever named. The search for unnamed workers with room stopped at the first worker that this round had filled.

Why this works: workers that can take a task now come first, whether they are to be named for the first time or again; the search ends only at the end of its list. Gangs keep the former order, as they need tickets for workers whose room is still to become free.

--- a/packages/cell-planner/src/choose-named-workers.ts
+++ b/packages/cell-planner/src/choose-named-workers.ts
@@ -1,4 +1,5 @@
 import { fits } from './fits.js';
+import type { PlannedWorker } from './planned-worker.js';
 import type { ReadyStep } from './ready-step.js';
 import type { Capacity } from './capacity.js';
 import type { WorkerIndex } from './worker-index.js';
@@ -15,7 +16,9 @@
  * Chooses the workers that an advice request for the step names. Load pattern: advice is the
  * bottleneck. A first request names so many workers that their part of its duration equals the
  * fixed part, those with the most free processor capacity first. A later request names the allowed
- * workers first, to renew their tickets, and then workers that no request has named yet.
+ * workers first, to renew their tickets, and then workers that no request has named yet. Allowed workers
+ * without room for a task come after unnamed ones with room, which would otherwise never be named once the
+ * allowed ones fill the request.
  */
 export function chooseNamedWorkers(
   step: ReadyStep,
@@ -31,17 +34,29 @@
     MAX_NAMED_WORKERS,
     Math.max(step.waitingTasks.length * NAMED_WORKERS_PER_TASK, workersForFixedCost),
   );
+  const hasRoom = (worker: PlannedWorker): boolean => fits(worker.free, demand);
   const allowedWorkers = [...workerIndex.listAllowed(step)]
     .sort(
       (left, right) =>
         right.free.millicores - left.free.millicores || (left.id < right.id ? -1 : 1),
     )
     .slice(0, advice.isAnswered ? maxNamedWorkers : 0);
-  const namedWorkers = allowedWorkers.map((worker) => worker.id);
-  for (const worker of workerIndex.listByFreeCpu(step)) {
-    if (namedWorkers.length >= maxNamedWorkers) break;
-    if (advice.allowed.has(worker.id) || advice.denied.has(worker.id)) continue;
-    if (fits(worker.total, demand)) namedWorkers.push(worker.id);
-  }
-  return namedWorkers;
+  const unnamedWorkers = workerIndex
+    .listByFreeCpu(step)
+    .filter(
+      (worker) =>
+        !advice.allowed.has(worker.id) &&
+        !advice.denied.has(worker.id) &&
+        fits(worker.total, demand),
+    );
+  // A gang needs tickets for all the workers for whose room it waits.
+  const orderedWorkers = step.step.gang
+    ? [...allowedWorkers, ...unnamedWorkers]
+    : [
+        ...allowedWorkers.filter(hasRoom),
+        ...unnamedWorkers.filter(hasRoom),
+        ...allowedWorkers.filter((worker) => !hasRoom(worker)),
+        ...unnamedWorkers.filter((worker) => !hasRoom(worker)),
+      ];
+  return orderedWorkers.slice(0, maxNamedWorkers).map((worker) => worker.id);
 }
--- a/packages/cell-planner/src/plan-cell.ts
+++ b/packages/cell-planner/src/plan-cell.ts
@@ -206,14 +206,15 @@
   ): boolean {
     const { advice } = step;
     if (advice === undefined) return false;
-    for (const worker of workerIndex.listByFreeCpu(step)) {
-      // The workers are sorted by the free capacity that they had at the start of the round. It has
-      // shrunk since, and the remaining workers are assumed to have no more than this one.
-      if (worker.free.millicores < demand.millicores) return false;
-      const isNamed = advice.allowed.has(worker.id) || advice.denied.has(worker.id);
-      if (!isNamed && fits(ledger.capacityFor(worker), demand)) return true;
-    }
-    return false;
+    // A worker that this round has filled says nothing about the ones after it.
+    return workerIndex
+      .listByFreeCpu(step)
+      .some(
+        (worker) =>
+          !advice.allowed.has(worker.id) &&
+          !advice.denied.has(worker.id) &&
+          fits(ledger.capacityFor(worker), demand),
+      );
   }
 
   /**
