Wait for the leases of a predecessor at a worker that was lost again

Callers would see a task run twice: a new owner reaches a worker once, loses it, and starts its tasks elsewhere while they go on there.

Cause: once the worker had seen the owner's token, only the owner's own grants counted for the time at which all leases there have expired. A token ends further grants of the predecessor, not the lease that it granted. An owner that may not extend leases, as its newest append is too old, had granted none, so that the runs ended as lost at once.

--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -31,6 +31,8 @@
 const ADVICE_DELAY_MS = 20;
 /** Share of the workers for which the advice service grants tickets for a step. */
 const ADVICE_ALLOWED_SHARE = 0.7;
+/** Longest lease in ms that a worker grants. */
+const MAX_LEASE_MS = 10_000;
 /** Age in ms up to which a pending count may omit changes. */
 const MAX_PENDING_COUNT_AGE_MS = 2_000;
 /** Timeout in ms of a client's submission or cancel. */
@@ -234,6 +236,7 @@
       },
       configurationKey: 'config',
       retentionMs: this.retentionMs,
+      maxLeaseMs: MAX_LEASE_MS,
       ownerTimeoutMs: 1_000,
       claimJitterMs: this.random.integer(0, 300 - 1),
       cores: this.options.cores?.[name] ?? 1,
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -42,6 +42,8 @@
   lastAppendAgeMs: () => number;
   /** Event-loop delay of this process in ms. */
   loopDelayMs: () => number;
+  /** Longest lease in ms that a worker grants, on its own clock. */
+  maxLeaseMs: number;
   /** Creates the client for the calls to one incarnation of a worker. */
   connect: (entry: WorkerEntry) => WorkerClient;
   /** Calls the advice service from this process. */
@@ -310,7 +312,7 @@
    * which no client can connect.
    */
   private openSession(entry: WorkerEntry, readAtMs: number): WorkerSession {
-    const { clock, log, token, lastAppendAgeMs, loopDelayMs } = this.options;
+    const { clock, log, token, lastAppendAgeMs, loopDelayMs, maxLeaseMs } = this.options;
     const client = this.options.connect(entry);
     const session = WorkerSession.create({
       clock,
@@ -319,6 +321,7 @@
       token,
       mayExtendLeases: () => lastAppendAgeMs() < limits.maxAppendAgeForLeaseMs,
       loopDelayMs,
+      maxLeaseMs,
       onHeldReply: (workerSession, reply, sentAtMs) => {
         if (this.isStopped) return;
         this.replaceFormerSession(workerSession);
--- a/packages/cell-owner/src/worker-session.ts
+++ b/packages/cell-owner/src/worker-session.ts
@@ -16,6 +16,8 @@
   mayExtendLeases: () => boolean;
   /** Event-loop delay of this process in ms. */
   loopDelayMs: () => number;
+  /** Longest lease in ms that the worker grants, on its own clock. */
+  maxLeaseMs: number;
   /** Called with each reply to a hold call, and the monotonic time at which the call was sent. */
   onHeldReply: (session: WorkerSession, reply: HeldReply, sentAtMs: number) => void;
   /** Called when the worker has seen a higher fencing token. */
@@ -55,7 +57,10 @@
   isReachable = true;
   /** True while the record of this incarnation is being appended to the cell log. */
   isIncarnationRecordPending = false;
-  /** Monotonic time at which all leases that this owner granted have expired. */
+  /**
+   * Monotonic time at which all leases have expired that this owner granted or that another one can have granted
+   * before the worker saw this owner's token.
+   */
   leasesExpireAtMs: number;
   /** Highest number among the run ends that the worker has reported. */
   lastReportedEnd = 0;
@@ -120,10 +125,15 @@
     if (clockReading === undefined || !this.options.mayExtendLeases()) return 0;
     const readingAgeMs = this.options.clock.monotonicMs() - clockReading.atMs;
     const durationMs = (readingAgeMs + limits.leaseMs) / (1 - limits.clockDrift);
-    this.leasesExpireAtMs = clockReading.atMs + durationMs + limits.clockMarginMs;
+    this.extendLeaseBound(clockReading.atMs + durationMs + limits.clockMarginMs);
     return Math.round(clockReading.workerMs + readingAgeMs + limits.leaseMs);
   }
 
+  /** Leases never become shorter. */
+  private extendLeaseBound(expireAtMs: number): void {
+    this.leasesExpireAtMs = Math.max(this.leasesExpireAtMs, expireAtMs);
+  }
+
   /** Makes hold calls until `stop` is called. */
   async runHoldLoop(): Promise<void> {
     const { clock } = this.options;
@@ -215,7 +225,11 @@
     const isFirstReply = this.clockReading === undefined;
     this.clockReading = { workerMs: reply.clockMs, atMs: nowMs };
     this.lastContactAtMs = nowMs;
-    this.hasSeenToken = true;
+    if (!this.hasSeenToken) {
+      this.hasSeenToken = true;
+      const longestLeaseMs = this.options.maxLeaseMs / (1 - limits.clockDrift);
+      this.extendLeaseBound(nowMs + longestLeaseMs + limits.clockMarginMs);
+    }
     if (!this.isReachable) {
       this.isReachable = true;
       this.options.onReachabilityChanged(this, true, '');
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -62,6 +62,8 @@
   configurationKey: string;
   /** Time in ms for which ended jobs are kept. */
   retentionMs: number;
+  /** Longest lease in ms that a worker grants, on its own clock. */
+  maxLeaseMs: number;
   /** Time in ms without a record of the owner after which another process claims the cell. */
   ownerTimeoutMs: number;
   /** Random delay in ms of this process's claims, so that processes do not claim at the same time. */
--- a/packages/cell-process/src/owner-term.ts
+++ b/packages/cell-process/src/owner-term.ts
@@ -30,6 +30,8 @@
   advise: AdviceClient;
   /** Event-loop delay of the process in ms. */
   loopDelayMs: () => number;
+  /** Longest lease in ms that a worker grants. */
+  maxLeaseMs: number;
   /** The store or a worker has received a higher token. */
   onFenced: (by: 'store' | 'worker') => void;
 }
@@ -80,6 +82,7 @@
       },
       lastAppendAgeMs: () => this.writer.lastAppendAgeMs(),
       loopDelayMs: options.loopDelayMs,
+      maxLeaseMs: options.maxLeaseMs,
       connect: options.connect,
       advise: options.advise,
       onFenced: () => {
