Keep runs that the next incarnation of a worker lists

Callers would see a task run twice, or a done task run again: the owner ended the run as lost although the worker that answered listed it.

Cause: closeSession ended all runs recorded for the former incarnation without a look at the lists of the one that answered. Until an entry of that one was published, no session held its runs.

Evidence: the new test fails before: the run ends as lost with the first answer of the next incarnation, while that answer lists it as running.

Why this works: what a worker lists is the truth about its runs. They are assigned to the incarnation that lists them, and a session with it is opened at once, without starts until its entry is read. Since calls reach one incarnation only, this matters beside owners of an earlier version.

The emulated worker answers a hold call that was meant for its former incarnation with its own start time, as a real one does.

--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -499,8 +499,10 @@
         (candidate) => candidate.entry.address === entry.address,
       );
       if (worker === undefined || this.isDisconnected(name, worker.entry.id)) return undefined;
-      const isNamedOne = worker.entry.id === entry.id && worker.entry.born === entry.born;
-      return isNamedOne ? worker.createClient(incarnationName) : worker.createGoneClient();
+      if (worker.entry.id !== entry.id) return worker.createGoneClient();
+      return worker.entry.born === entry.born
+        ? worker.createClient(incarnationName)
+        : worker.createClientOfFormer(incarnationName);
     };
     const call = async <Reply>(
       send: (worker: ReturnType<EmulatedWorker['createClient']>) => Promise<Reply>,
--- a/packages/cell-emulator/src/emulated-worker.ts
+++ b/packages/cell-emulator/src/emulated-worker.ts
@@ -135,7 +135,19 @@
     };
   }
 
-  /** Creates the client of a call that names another worker or incarnation than the one at the address. */
+  /**
+   * Creates the client of calls that are meant for an earlier incarnation of this worker. Only a hold call finds out
+   * who answers.
+   */
+  createClientOfFormer(caller: string): WorkerClient {
+    const plainHold = { leaseUntilMs: 0, acknowledgedEnd: 0, waitMs: 0 };
+    return {
+      ...this.createGoneClient(),
+      hold: ({ token, timeoutMs }) => this.hold(caller, { ...plainHold, token, timeoutMs }),
+    };
+  }
+
+  /** Creates the client of calls that name another worker than the one at the address. */
   createGoneClient(): WorkerClient {
     const reply = async <Reply>(goneReply: Reply): Promise<Reply> => {
       await this.wait(REPLY_DELAY_MS);
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@acaciahoist/clock';
 import type { AdviceClient } from '@acaciahoist/cell-types/advice-client';
 import type { CellRecord } from '@acaciahoist/cell-types/cell-record';
+import type { HoldReply } from '@acaciahoist/cell-types/hold-reply';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import { StopReply } from '@acaciahoist/cell-types/stop-reply';
 import type { WorkerClient } from '@acaciahoist/cell-types/worker-client';
@@ -28,6 +29,8 @@
 import { WorkerHealth } from './worker-health.js';
 import { WorkerSession } from './worker-session.js';
 
+type HeldReply = Extract<HoldReply, { kind: 'held' }>;
+
 interface Options {
   clock: Clock;
   log: EventLog;
@@ -324,7 +327,7 @@
       maxLeaseMs,
       onHeldReply: (workerSession, reply, sentAtMs) => {
         if (this.isStopped) return;
-        this.replaceFormerSession(workerSession);
+        this.replaceFormerSession(workerSession, reply);
         this.recordIncarnation(workerSession);
         this.runTracker.reconcileRuns(workerSession, reply, sentAtMs);
         this.planLoop.schedule();
@@ -335,8 +338,8 @@
       onGone: (workerSession, reason) => {
         this.handleGone(workerSession, reason);
       },
-      onOtherIncarnation: (workerSession, born) => {
-        this.handleOtherIncarnation(workerSession, born);
+      onOtherIncarnation: (workerSession, reply) => {
+        this.handleOtherIncarnation(workerSession, reply);
       },
       onUnexpectedError: (workerSession, error) => {
         log('error', 'worker-reply-not-taken', { worker: workerSession.id, error: String(error) });
@@ -399,12 +402,33 @@
   }
 
   /** Handles an answer of a candidate, which proves that the earlier incarnations have ended. */
-  private replaceFormerSession(candidate: WorkerSession): void {
+  private replaceFormerSession(candidate: WorkerSession, reply: HeldReply): void {
     if (this.candidates.get(candidate.id) !== candidate) return;
     const former = this.sessions.get(candidate.id);
     const { born } = candidate.entry;
-    if (former !== undefined)
-      this.closeSession(former, `incarnation ${born} has answered`, (ended) => ended < born);
+    if (former === undefined) return;
+    this.adoptListedRuns(candidate.id, reply);
+    this.closeSession(former, `incarnation ${born} has answered`, (ended) => ended < born);
+  }
+
+  /**
+   * Assigns the runs that a worker lists to the incarnation that lists them. An owner of an earlier version may have
+   * sent a start to another incarnation than the one for which it is recorded.
+   */
+  private adoptListedRuns(worker: string, { born, running, ended }: HeldReply): void {
+    for (const { task, run } of [...running, ...ended]) {
+      const trackedRun = this.runs.get(task);
+      if (trackedRun?.worker !== worker || trackedRun.run !== run || trackedRun.born === born)
+        continue;
+      this.options.log('warn', 'run-on-other-incarnation', {
+        task,
+        run,
+        worker,
+        recorded: trackedRun.born,
+        listedBy: born,
+      });
+      trackedRun.born = born;
+    }
   }
 
   /** Handles the answer of the process at a worker's address that it is not this worker. */
@@ -421,8 +445,9 @@
   }
 
   /** Handles the answer of a worker as another incarnation than the one that its entry names. */
-  private handleOtherIncarnation(session: WorkerSession, answered: number): void {
+  private handleOtherIncarnation(session: WorkerSession, reply: HeldReply): void {
     const { id, entry } = session;
+    const answered = reply.born;
     if (this.candidates.get(id) === session) {
       this.dropCandidate(id);
       return;
@@ -430,10 +455,11 @@
     if (this.sessions.get(id) !== session) return;
     if (answered > entry.born || session.hasSeenToken) {
       const reason = `incarnation ${answered} answered instead of ${entry.born}`;
+      this.adoptListedRuns(id, reply);
       this.closeSession(session, reason, (ended) => ended < answered || ended === entry.born);
-      return;
+      if (this.sessions.has(id)) return;
     }
-    // The entry names an incarnation that does not exist: the runs of the one that answered go on.
+    // No entry of the one that answered has been read. Its runs go on, and it gets no starts until then.
     const actual = this.openSession({ ...entry, born: answered }, this.options.clock.monotonicMs());
     actual.hasOtherEntry = true;
     this.sessions.set(id, actual);
--- a/packages/cell-owner/src/worker-incarnations.test.ts
+++ b/packages/cell-owner/src/worker-incarnations.test.ts
@@ -17,6 +17,7 @@
 // These tests use a manual clock, fixed inputs and no seed.
 
 const FIRST_BORN = 1_700_000_000_000;
+const NEXT_BORN = FIRST_BORN + 60_000;
 const JOB = '00000000000000aa';
 const TASK = `${JOB}.0.0.0`;
 const LISTED: RunningRun = { task: TASK, run: 1, checkpoint: '', percent: 40, load: 0 };
@@ -139,6 +140,23 @@
   return { ...setup, owner };
 }
 
+// Guards against a task that runs twice: the next incarnation of its worker lists the run, because an owner of an
+// earlier version has sent the start there, and the owner ends it as lost with the former incarnation.
+test('an owner keeps a run that the next incarnation of its worker lists', async () => {
+  for (const isPublished of [true, false]) {
+    const { owner, worker, ends, entry, advance } = await startOwner();
+    expect(worker.running).toEqual([LISTED]);
+    worker.born = NEXT_BORN;
+    if (isPublished) owner.updateWorker({ ...entry, born: NEXT_BORN }, 0);
+    await advance(20_000);
+    expect(ends).toEqual([]);
+    worker.running = [];
+    worker.ended = [{ number: 1, task: TASK, run: 1, how: 'done', checkpoint: '' }];
+    await advance(200);
+    expect(ends).toEqual([`${TASK}/1:done`]);
+  }
+});
+
 // Guards against a task that runs twice: an owner that cannot extend leases reaches a worker once and loses it, and
 // does not wait for the lease that its predecessor has granted.
 test('an owner waits for the lease of its predecessor at a worker that it has reached and lost', async () => {
--- a/packages/cell-owner/src/worker-session.ts
+++ b/packages/cell-owner/src/worker-session.ts
@@ -24,8 +24,8 @@
   onFenced: () => void;
   /** Called when the process at the address answers that it is not this worker. */
   onGone: (session: WorkerSession, reason: string) => void;
-  /** Called when the worker answers as the incarnation that started at `born`, which is not this one. */
-  onOtherIncarnation: (session: WorkerSession, born: number) => void;
+  /** Called when the worker answers as another incarnation than this one. */
+  onOtherIncarnation: (session: WorkerSession, reply: HeldReply) => void;
   /** Called when the outcome of a hold call shows the worker to be unreachable, or reachable again. */
   onReachabilityChanged: (session: WorkerSession, isReachable: boolean, reason: string) => void;
   /** Called when the handling of a reply failed with an unexpected error. */
@@ -98,6 +98,7 @@
   /** True when the worker may get starts. */
   isStartable(): boolean {
     return (
+      !this.isStopped &&
       this.hasSeenToken &&
       this.isReachable &&
       !this.entry.draining &&
@@ -219,7 +220,7 @@
   private handleHeldReply(reply: HeldReply, sentAtMs: number): number {
     const nowMs = this.options.clock.monotonicMs();
     if (reply.born !== this.entry.born) {
-      this.options.onOtherIncarnation(this, reply.born);
+      this.options.onOtherIncarnation(this, reply);
       return limits.holdRetryMs;
     }
     const isFirstReply = this.clockReading === undefined;
