Drop tickets that were requested for a former incarnation

Cause: the cache keeps tickets by the id of the worker and forgets them at a restart, but an answer that was outstanding then was stored afterwards.

Evidence: the new test fails before: the start after the restart carries the ticket of the first request.

Why this works: the answer counts only for workers whose incarnation is the one of the time of the request; the others are asked about again. The time of the newest list of runs moves to the session for the same reason.

--- a/packages/cell-owner/src/plan-loop.ts
+++ b/packages/cell-owner/src/plan-loop.ts
@@ -191,6 +191,10 @@
     if (advice === undefined) return;
     const expectedMs = advice.decisionMs + advice.perWorkerMs * workers.length;
     const isPrompt = step.queue.priority === 0;
+    const { sessions } = this.context;
+    const askedIncarnations = new Map(workers.map((id) => [id, sessions.get(id)?.entry.born]));
+    const isSameIncarnation = (id: string): boolean =>
+      sessions.get(id)?.entry.born === askedIncarnations.get(id);
     const outstandingRequest = this.adviceScheduler.tryRequest(
       step.key,
       workers,
@@ -206,8 +210,9 @@
         if (result.kind === 'allowed')
           this.context.adviceCache.recordTickets(
             step.key,
-            workers,
-            result.tickets,
+            // Tickets are valid for the incarnation of the worker at the time of the request.
+            workers.filter(isSameIncarnation),
+            result.tickets.filter(([id]) => isSameIncarnation(id)),
             advice.ticketMs,
           );
         else this.context.log('warn', 'advice-not-given', { step: step.key, result: result.kind });
--- a/packages/cell-owner/src/run-tracker.ts
+++ b/packages/cell-owner/src/run-tracker.ts
@@ -16,8 +16,6 @@
   }
 
   private readonly paceController: PaceController;
-  /** Monotonic time of the newest list of runs, by worker. */
-  private readonly lastListedAtMs = new Map<string, number>();
 
   private constructor(
     private readonly context: OwnerContext,
@@ -37,8 +35,8 @@
   ): void {
     if (this.context.isStopped()) return;
     const nowMs = this.context.clock.monotonicMs();
-    const listAgeMs = nowMs - (this.lastListedAtMs.get(session.id) ?? nowMs);
-    this.lastListedAtMs.set(session.id, nowMs);
+    const listAgeMs = nowMs - (session.lastListedAtMs ?? nowMs);
+    session.lastListedAtMs = nowMs;
     this.reportUnreadableRows(session, reply.unreadableRows);
     const listedTasks = new Set<string>();
     for (const ended of reply.ended) {
--- a/packages/cell-owner/src/worker-incarnations.test.ts
+++ b/packages/cell-owner/src/worker-incarnations.test.ts
@@ -167,3 +167,24 @@
   await advance(2_000);
   expect(ends).toEqual([`${TASK}/1:lost`]);
 });
+
+// Guards against starts that a worker refuses: their ticket was requested for its former incarnation and arrived
+// after the restart.
+test('an owner uses no ticket that was requested for the former incarnation of a worker', async () => {
+  const advisedQueue = { ...QUEUE, advice: { decisionMs: 300, perWorkerMs: 1, ticketMs: 5_000 } };
+  let requests = 0;
+  const { owner, worker, starts, entry, advance } = await startOwner({
+    queue: advisedQueue,
+    advise: (clock) => async () => {
+      requests += 1;
+      const ticket = `ticket ${requests}`;
+      await new Promise<void>((resolve) => clock.after(300, resolve));
+      return { kind: 'allowed', tickets: [['w', ticket]] };
+    },
+  });
+  expect([requests, starts.length]).toEqual([1, 0]);
+  worker.born = NEXT_BORN;
+  owner.updateWorker({ ...entry, born: NEXT_BORN }, 0);
+  await advance(1_000);
+  expect(starts.map(({ ticket }) => ticket)).toEqual(['ticket 2']);
+});
--- a/packages/cell-owner/src/worker-session.ts
+++ b/packages/cell-owner/src/worker-session.ts
@@ -66,6 +66,8 @@
   lastReportedEnd = 0;
   /** Run ends up to this number are recorded; hold calls acknowledge them. */
   acknowledgedEnd = 0;
+  /** Monotonic time of the newest list of runs; undefined before the first. */
+  lastListedAtMs: number | undefined;
   /** Number of rows in the newest reply that could not be decoded. */
   unreadableRows = 0;
   /** Wait in ms of the newest hold call. */
