Reserve for a gang only capacity that becomes free

Cause: a long-running task at work is listed with 100%, and was expected to end at once. The gang got a reservation that fits in 0 ms on its capacity, which never becomes free, and the free capacity was withheld from all later steps. Gangs that can never run also used up the searches of a round.

Why this works: a long-running run has no expected end, and no reservation is searched for a gang that would not fit after all runs that end.

--- a/packages/cell-owner/src/estimate-remaining-ms.ts
+++ b/packages/cell-owner/src/estimate-remaining-ms.ts
@@ -5,8 +5,13 @@
 /** A run that exceeds its estimate is expected to go on for this share of its duration so far. */
 const OVERRUN_REMAINING_SHARE = 0.2;
 
-/** Returns the expected time in ms until the run ends, by its progress or else by its estimate. */
+/**
+ * Returns the expected time in ms until the run ends, by its progress or else by its estimate; infinite for a run
+ * that does not end by itself.
+ */
 export function estimateRemainingMs(trackedRun: TrackedRun, nowMs: number): number {
+  // The percentage of a long-running task says whether it is at work.
+  if (trackedRun.isLongRunning) return Number.POSITIVE_INFINITY;
   if (trackedRun.percent >= MIN_PROGRESS_PERCENT) {
     const workedMs = trackedRun.lastProgressAtMs - trackedRun.trackedSinceMs;
     const totalMs = (workedMs * 100) / trackedRun.percent;
--- a/packages/cell-planner/src/plan-cell.ts
+++ b/packages/cell-planner/src/plan-cell.ts
@@ -1,3 +1,4 @@
+import { canHoldTasks } from './can-hold-tasks.js';
 import { chooseNamedWorkers } from './choose-named-workers.js';
 import type { FailedRuns } from './failed-runs.js';
 import { fits } from './fits.js';
@@ -169,7 +170,15 @@
       mayRequestAdvice(step) &&
       hasUnnamedWorkerWithTotalCapacity(step, demand) &&
       requestAdvice(step, demand);
-    if (!mayReserve()) return;
+    // Only capacity that becomes free can be reserved. A gang that never fits takes no search from another one.
+    const canEverFit = canHoldTasks(
+      step,
+      demand,
+      step.waitingTasks.length,
+      allowedWorkers,
+      (worker) => worker.eventuallyFree,
+    );
+    if (!canEverFit || !mayReserve()) return;
     reservationSearches += 1;
     const reservation = reserveGang(step, demand, allowedWorkers);
     if (reservation === undefined) return;
