Let runs of long tasks go on between two percents of progress

Cause: a run counted as stalled after 2.5 s without a change of its progress, which workers report in whole percents. One percent of such a task takes 4 s. Each stall counted against the worker too.

Why this works: the limit covers three percents, by the estimate or by the progress so far, and doubles with each stall of the same task, as both may be far too short. Short tasks keep the limit of 2.5 s, so that workers on which runs stand still are found as soon as before. Only the first stall of a task counts against a worker.

--- a/packages/cell-emulator/src/create-job.ts
+++ b/packages/cell-emulator/src/create-job.ts
@@ -5,6 +5,7 @@
 /**
  * Creates a job for tests with an id from `number`; `plainStep` supplies the fields that a step does not set.
  * With a payload that starts with `fails`, all runs of its tasks fail; with `flaky`, only the first run of each.
+ * With `long`, they take a hundred times their estimate.
  */
 export function createJob(
   number: number,
--- a/packages/cell-emulator/src/emulated-cell.ts
+++ b/packages/cell-emulator/src/emulated-cell.ts
@@ -33,6 +33,8 @@
 const ADVICE_ALLOWED_SHARE = 0.7;
 /** Longest lease in ms that a worker grants. */
 const MAX_LEASE_MS = 10_000;
+/** Ratio of the duration to the estimate of a task whose job has the payload `long`. */
+const LONG_FACTOR = 100;
 /** Age in ms up to which a pending count may omit changes. */
 const MAX_PENDING_COUNT_AGE_MS = 2_000;
 /** Timeout in ms of a client's submission or cancel. */
@@ -467,7 +469,9 @@
     const job = ref && this.jobs.get(ref.job);
     const step = job?.steps[ref?.step ?? 0];
     const durationMs =
-      step?.longRunning === true ? Number.POSITIVE_INFINITY : (step?.estimateMs ?? 100);
+      step?.longRunning === true
+        ? Number.POSITIVE_INFINITY
+        : (step?.estimateMs ?? 100) * (job?.payload === 'long' ? LONG_FACTOR : 1);
     const fails =
       job?.payload.startsWith('fails') === true || (job?.payload === 'flaky' && run === 1);
     return { durationMs, how: fails ? RunEnd.failed : RunEnd.done };
--- a/packages/cell-owner/src/cell-owner.ts
+++ b/packages/cell-owner/src/cell-owner.ts
@@ -92,6 +92,7 @@
   /** Sessions whose worker gets no hold calls yet. */
   private readonly unconnectedSessions: WorkerSession[] = [];
   private isConnectScheduled = false;
+  private readonly runMonitor: RunMonitor;
   private readonly runTracker: RunTracker;
   private readonly startSender: StartSender;
   private readonly planLoop: PlanLoop;
@@ -136,7 +137,8 @@
         this.sendStop(session, trackedRun);
       },
     };
-    this.runTracker = RunTracker.create(context, RunMonitor.create(context));
+    this.runMonitor = RunMonitor.create(context);
+    this.runTracker = RunTracker.create(context, this.runMonitor);
     this.startSender = StartSender.create(context);
     this.evacuator = Evacuator.create(context, DisruptionBudget.create(context));
     this.planLoop = PlanLoop.create(context, this.adviceScheduler);
@@ -580,6 +582,7 @@
     this.adviceCache.forgetJob(id);
     this.begunJobs.forget(id);
     this.workerHealth.forgetJob(id);
+    this.runMonitor.forgetJob(id);
     this.options.log('info', 'job-ended', {
       job: id,
       outcome: ended.outcome,
--- a/packages/cell-owner/src/limits.ts
+++ b/packages/cell-owner/src/limits.ts
@@ -44,7 +44,10 @@
   maxHoldReplyDelayMs: 500,
   /** A worker that refused a start as unhealthy gets no starts for this time. */
   unhealthyPauseMs: 1_000,
-  /** A run counts as stalled after this time without progress on a worker that answers. */
+  /**
+   * Minimum time without progress on a worker that answers after which a run counts as stalled; longer where one
+   * percent takes longer.
+   */
   stallMs: 2_500,
   /** Replaces `stallMs` for a gang, whose members make no progress while they wait for each other. */
   gangStallMs: 5_500,
--- a/packages/cell-owner/src/run-monitor.ts
+++ b/packages/cell-owner/src/run-monitor.ts
@@ -1,5 +1,6 @@
 import { taskName } from '@acaciahoist/cell-state/task-name';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
+import { computeStallLimit } from './compute-stall-limit.js';
 import { limits } from './limits.js';
 import type { OwnerContext } from './owner-context.js';
 import type { TrackedRun } from './tracked-run.js';
@@ -11,6 +12,9 @@
     return new RunMonitor(context);
   }
 
+  /** Number of runs that were stopped as stalled, by task. */
+  private readonly stallCounts = new Map<string, number>();
+
   private constructor(private readonly context: OwnerContext) {}
 
   /** Records the failure or the speed of a run that has ended. */
@@ -40,11 +44,43 @@
         trackedRun,
         ((trackedRun.lastProgressAtMs - trackedRun.trackedSinceMs) * 100) / trackedRun.percent,
       );
-    const stallMs = step.gang ? limits.gangStallMs : limits.stallMs;
-    if (trackedRun.percent >= 100 || nowMs - trackedRun.lastProgressAtMs < stallMs) return;
-    if (!step.gang && this.context.workerHealth.recordStall(trackedRun.worker))
-      this.reportEjection(trackedRun.worker);
-    this.context.sendStop(session, trackedRun);
+    if (this.isStalled(trackedRun, step.gang, nowMs)) this.context.sendStop(session, trackedRun);
+  }
+
+  /** Removes what is kept for the tasks of a job. */
+  forgetJob(job: string): void {
+    for (const task of this.stallCounts.keys())
+      if (taskName.jobOf(task) === job) this.stallCounts.delete(task);
+  }
+
+  /** Returns whether the run is stalled; it stays so until it has ended. */
+  private isStalled(trackedRun: TrackedRun, isGang: boolean, nowMs: number): boolean {
+    if (trackedRun.isStalled) return true;
+    const { task, percent, lastProgressAtMs, trackedSinceMs, estimateMs, worker } = trackedRun;
+    const earlierStalls = this.stallCounts.get(task) ?? 0;
+    const limitMs = computeStallLimit({
+      minMs: isGang ? limits.gangStallMs : limits.stallMs,
+      estimateMs,
+      percent,
+      workedMs: lastProgressAtMs - trackedSinceMs,
+      earlierStalls,
+    });
+    if (percent >= 100 || nowMs - lastProgressAtMs < limitMs) return false;
+    trackedRun.isStalled = true;
+    this.stallCounts.set(task, earlierStalls + 1);
+    this.context.count('runs_stalled_total');
+    this.context.log('warn', 'run-stalled', {
+      task,
+      run: trackedRun.run,
+      worker,
+      percent,
+      limitMs: Math.round(limitMs),
+      earlierStalls,
+    });
+    // A task that stalls again is the likely cause itself.
+    if (!isGang && earlierStalls === 0 && this.context.workerHealth.recordStall(worker))
+      this.reportEjection(worker);
+    return true;
   }
 
   /** Records the speed of a run at most once; `totalMs` is the measured or projected duration of the run. */
--- a/packages/cell-owner/src/run-table.ts
+++ b/packages/cell-owner/src/run-table.ts
@@ -106,6 +106,7 @@
     trackedSinceMs: nowMs,
     startSettledAtMs: nowMs,
     estimateMs: step.estimateMs,
+    isStalled: false,
     percent: 0,
     lastProgressAtMs: nowMs,
     checkpoint: '',
--- a/packages/cell-owner/src/start-sender.ts
+++ b/packages/cell-owner/src/start-sender.ts
@@ -38,6 +38,7 @@
       trackedSinceMs: nowMs,
       startSettledAtMs: nowMs,
       estimateMs: step.estimateMs,
+      isStalled: false,
       percent: 0,
       lastProgressAtMs: nowMs,
       checkpoint: taskEntry.task.checkpoint,
--- a/packages/cell-owner/src/tracked-run.ts
+++ b/packages/cell-owner/src/tracked-run.ts
@@ -24,6 +24,8 @@
    */
   startSettledAtMs: number;
   estimateMs: number;
+  /** True once the run was found to be stalled, and is to be stopped. */
+  isStalled: boolean;
   /** Completed share of the work in percent, as the worker last listed it. */
   percent: number;
   /**
