Refuse jobs for which the cell has no memory

Cause: a single job is bounded, the sum of the accepted ones was not, and each replica keeps an object for each task.

Both new tests of the front fail without it.

What it is appending counts too, and a job that was accepted before is still answered 200, so that the refusal is true. 20 MB are a tenth of the heap: all fronts together may exceed it by what they accept within the age of their figures.

--- a/packages/cell-front/src/cell-front.test.ts
+++ b/packages/cell-front/src/cell-front.test.ts
@@ -4,6 +4,7 @@
 import { ErrorKind } from '@acaciahoist/errors/error-kind';
 import { CellState } from '@acaciahoist/cell-state';
 import type { CellJob } from '@acaciahoist/cell-types';
+import { plainStep } from '@acaciahoist/cell-types/plain-step';
 import type { ReportedCount } from './reported-count.js';
 import { CellFront } from './cell-front.js';
 import type { RemoteJobState } from './remote-job-state.js';
@@ -28,6 +29,8 @@
   remoteState?: RemoteJobState;
   replicaAgeMs?: number;
   reported?: ReportedCount;
+  /** Memory of the open jobs that other processes report. */
+  reportedBytes?: number;
   /** Count that other processes report when they are queried; undefined when they do not answer. */
   queryCounts?: () => Promise<ReportedCount | undefined>;
   /** True for a process without a replica. */
@@ -60,6 +63,7 @@
     appendThroughStandby: () => Promise.resolve('refused'),
     queryJobState: () => Promise.resolve(setup.remoteState),
     findReportedCount: () => reported,
+    findReportedBytes: () => setup.reportedBytes,
     queryCounts: async () => {
       reported = (await setup.queryCounts?.()) ?? reported;
     },
@@ -378,3 +382,49 @@
   expect(result.isErr && result.error.kind).toEqual(ErrorKind.logUnavailable);
   expect(relayed).toEqual(0);
 });
+
+/** Creates a job that takes about a tenth of the memory that a cell sets aside for open jobs. */
+const createLargeJob = (number: number): CellJob => ({
+  ...job,
+  id: number.toString(16).padStart(16, '0'),
+  steps: [{ ...plainStep, count: 20_000 }],
+});
+
+// Guards against processes that run out of memory, again after each restart, because they accept more tasks than they
+// can keep (review/4).
+test('the cell front refuses a job when the jobs that have not ended take all memory set aside for them', async () => {
+  const { front, state } = create({ replicaAgeMs: 0 });
+  const submitAll = async (first: number): Promise<(string | undefined)[]> => {
+    const results = Array.from({ length: 15 }, (_, index) =>
+      front.submit(createLargeJob(first + index), 1_000),
+    );
+    return (await Promise.all(results)).map((result) =>
+      result.isErr ? result.error.kind : undefined,
+    );
+  };
+  // Jobs that the replica does not show yet count as well.
+  const results = await submitAll(1);
+  expect(results.filter((kind) => kind === undefined).length).toEqual(9);
+  expect(new Set(results.slice(9))).toEqual(new Set([ErrorKind.overloaded]));
+  for (let number = 1; number <= 9; number += 1) {
+    state.apply({ kind: 'job', job: createLargeJob(number) });
+    front.observeJob(createLargeJob(number).id);
+  }
+  expect(new Set(await submitAll(21))).toEqual(new Set([ErrorKind.overloaded]));
+  for (let number = 1; number <= 9; number += 1)
+    state.apply({ kind: 'cancel', id: createLargeJob(number).id });
+  expect((await front.submit(createLargeJob(41), 1_000)).isOk).toEqual(true);
+});
+
+// Guards against "not run" for a job that another process has accepted before the cell was full.
+test('the cell front accepts a repeated job while the cell has no room for others', async () => {
+  const isFull = { hasNoReplica: true, reportedBytes: 20_000_000 };
+  const known = create({ ...isFull, remoteState: { kind: 'known', state: 'queued' } });
+  expect((await known.front.submit(job, 1_000)).isOk).toEqual(true);
+  const unknown = create({ ...isFull, remoteState: { kind: 'absent' } });
+  const refused = await unknown.front.submit(job, 1_000);
+  expect(refused.isErr && refused.error.kind).toEqual(ErrorKind.overloaded);
+  const undetermined = create(isFull);
+  const unavailable = await undetermined.front.submit(job, 1_000);
+  expect(unavailable.isErr && unavailable.error.kind).toEqual(ErrorKind.logUnavailable);
+});
--- a/packages/cell-front/src/cell-front.ts
+++ b/packages/cell-front/src/cell-front.ts
@@ -9,6 +9,7 @@
 import type { CellState } from '@acaciahoist/cell-state';
 import type { EventLog } from '@acaciahoist/types/event-log';
 import type { ReportedCount } from './reported-count.js';
+import { OpenWork } from './open-work.js';
 import { PendingCounts } from './pending-counts.js';
 import { RecentMap } from './recent-map.js';
 import type { RemoteJobState } from './remote-job-state.js';
@@ -45,6 +46,8 @@
   queryJobState: (id: string) => Promise<RemoteJobState | undefined>;
   /** Pending count of a queue as another process reported it; undefined when none did. */
   findReportedCount: (queue: string) => ReportedCount | undefined;
+  /** Memory in bytes of the open jobs as another process reported it; undefined when none did. */
+  findReportedBytes: () => number | undefined;
   /**
    * Queries other processes for their pending counts; resolves when they have answered or timed
    * out.
@@ -108,6 +111,7 @@
   /** States of ended jobs that other processes reported. */
   private readonly endedJobStates: RecentMap<CellJobState>;
   private readonly pendingCounts: PendingCounts;
+  private readonly openWork: OpenWork;
 
   /** Time in ms that the newest record took to be stored. */
   private lastStoreDurationMs = 0;
@@ -118,15 +122,22 @@
     this.acceptedJobs = RecentMap.create(mapOptions);
     this.endedJobStates = RecentMap.create(mapOptions);
     this.pendingCounts = PendingCounts.create(options);
+    this.openWork = OpenWork.create({
+      clock,
+      state: options.state,
+      reportedBytes: options.findReportedBytes,
+    });
   }
 
   /**
-   * Accepts a job. Fails with `log-unavailable` when the job is not accepted and never runs, and
-   * with `append-unknown` when that cannot be determined within `timeoutMs`.
+   * Accepts a job. Fails with `log-unavailable`, or with `overloaded` when the cell has no room for it, when the
+   * job is not accepted and never runs, and with `append-unknown` when that cannot be determined within
+   * `timeoutMs`.
    */
   submit(job: CellJob, timeoutMs: number): Promise<Result<Unit, Failure>> {
     if (this.hasJob(job.id)) return Promise.resolve(Result.ok());
     const outstanding = this.outstandingSubmissions.get(job.id);
+    if (outstanding === undefined && !this.openWork.hasRoomFor(job)) return this.refuseJob(job);
     const submission = outstanding ?? this.appendJob(job);
     return this.limitDuration(submission, timeoutMs, `job ${job.id} is not yet known to be stored`);
   }
@@ -207,8 +218,23 @@
     return this.pendingCounts.findCount(queue);
   }
 
+  /** Refuses a job for which the cell has no room, unless it was accepted before, also by another process. */
+  private async refuseJob(job: CellJob): Promise<Result<Unit, Failure>> {
+    const known = await this.jobStateOf(job.id);
+    if (known.isOk) return Result.ok();
+    if (known.error.kind !== ErrorKind.unknownJob) return Result.err(known.error);
+    this.reportNotAccepted(job.id, 'no-room');
+    return Result.err(
+      Failure.create(
+        ErrorKind.overloaded,
+        `job ${job.id} was not accepted: the jobs that have not ended take all memory set aside for them`,
+      ),
+    );
+  }
+
   /** Must be called for every job record that the replica applied. */
   observeJob(id: string): void {
+    this.openWork.remove(id);
     this.acceptedJobs.delete(id);
   }
 
@@ -243,6 +269,7 @@
   }
 
   private appendJob(job: CellJob): Promise<Result<Unit, Failure>> {
+    this.openWork.add(job);
     const submission = this.store({ kind: 'job', job }).then((result) => {
       this.outstandingSubmissions.delete(job.id);
       if (result === 'appended') {
@@ -255,6 +282,7 @@
         this.options.count('jobs_accepted_total');
         return Result.ok();
       }
+      if (result === 'refused') this.openWork.remove(job.id);
       this.reportNotAccepted(job.id, result);
       return Result.err(
         result === 'refused'
@@ -266,7 +294,7 @@
     return submission;
   }
 
-  private reportNotAccepted(job: string, outcome: 'refused' | 'unknown'): void {
+  private reportNotAccepted(job: string, outcome: 'refused' | 'unknown' | 'no-room'): void {
     this.options.log('warn', 'job-not-accepted', {
       job,
       reason: outcome,
--- a/packages/cell-process/src/cell-process.ts
+++ b/packages/cell-process/src/cell-process.ts
@@ -321,6 +321,7 @@
       appendThroughStandby: (record) => relay.appendThroughStandby(recordCodec.encode(record)),
       queryJobState: (id) => relay.queryJobState(id),
       findReportedCount: (queue) => this.peerTracker.pendingCountOf(queue),
+      findReportedBytes: () => this.peerTracker.openJobBytes(),
       queryCounts: () => this.peerTracker.queryReplicas(),
       retentionMs: options.retentionMs,
     });
@@ -725,6 +726,7 @@
       isStandby: this.isChosenStandby(address),
       pending: isCurrent ? this.listPendingCounts() : null,
       pendingAgeMs: wireAge.encode(this.replica.ageMs()),
+      openJobBytes: isCurrent ? this.replica.state.openJobBytes : null,
     };
   }
 
--- a/packages/cell-process/src/peer-tracker.ts
+++ b/packages/cell-process/src/peer-tracker.ts
@@ -60,6 +60,7 @@
   private pendingAsOf: Instant;
   /** Pending counts by queue. */
   private pending = new Map<string, number>();
+  private reportedOpenJobBytes: number | undefined;
   private isCallingOwner = false;
   private reportedLoopDelayMs = 0;
 
@@ -124,6 +125,11 @@
     return { count: this.pending.get(queue) ?? 0, ageMs };
   }
 
+  /** Memory in bytes of the open jobs, as of the time of the pending counts; undefined when not known. */
+  openJobBytes(): number | undefined {
+    return this.reportedOpenJobBytes;
+  }
+
   /** Addresses of other processes that hold a replica: those of this data centre first, the owner last. */
   replicaAddresses(): string[] {
     const { ownAddress, dataCentre } = this.options;
@@ -219,6 +225,7 @@
     if (asOf.ageMs() > this.pendingAsOf.ageMs()) return;
     this.pendingAsOf = asOf;
     this.pending = new Map(reply.pending);
+    this.reportedOpenJobBytes = reply.openJobBytes ?? undefined;
   }
 
   private createOffer(cores: number): Offer {
--- a/packages/cell-state/src/cell-state.test.ts
+++ b/packages/cell-state/src/cell-state.test.ts
@@ -339,6 +339,22 @@
   expect(earlier.unpack(recordCodec.encode(renewal)) as CellRecord).toEqual(renewal);
 });
 
+// Guards against a cell that refuses all jobs for good, or accepts too many, because the memory of jobs that have
+// ended is still counted, or that of jobs from a snapshot is not.
+test('the state counts the memory of jobs until they end, also in a snapshot', () => {
+  const state = CellState.create(1_000);
+  state.apply({ kind: 'job', job: createJob({ count: 5_000 }) });
+  state.apply({ kind: 'job', job: { ...createJob(), id: 'bb'.repeat(8) } });
+  const bytes = state.openJobBytes;
+  expect(bytes > 500_000).toEqual(true);
+  const restored = snapshotCodec.decode(snapshotCodec.encode(state), 1_000);
+  expect(restored.openJobBytes).toEqual(bytes);
+  restored.apply({ kind: 'cancel', id });
+  expect(restored.openJobBytes < 10_000).toEqual(true);
+  restored.apply({ kind: 'cancel', id: 'bb'.repeat(8) });
+  expect(restored.openJobBytes).toEqual(0);
+});
+
 // Guards against a successor that sends a task back to the first of several workers on which it has failed.
 test('the state keeps the newest workers on which a task has failed, also in a snapshot', () => {
   const state = CellState.create(1_000);
--- a/packages/cell-state/src/cell-state.ts
+++ b/packages/cell-state/src/cell-state.ts
@@ -5,6 +5,7 @@
 import { jobLimits } from '@acaciahoist/cell-types/job-limits';
 import { RunEnd } from '@acaciahoist/cell-types/run-end';
 import type { CellOwnerClaim } from './cell-owner-claim.js';
+import { computeJobBytes } from './compute-job-bytes.js';
 import type { EndedJob } from './ended-job.js';
 import type { JobProgress } from './job-progress.js';
 import type { LeftoverRun } from './leftover-run.js';
@@ -50,6 +51,8 @@
   readonly ended = new Map<string, EndedJob>();
   /** Number of pending jobs by queue: accepted, not begun and without scheduled times. */
   readonly pendingCounts = new Map<string, number>();
+  /** Estimated memory in bytes of the jobs that have not ended. */
+  openJobBytes = 0;
   /** Start of the newest incarnation of each worker that an owner has reached, in Unix ms. */
   readonly incarnations = new Map<string, number>();
   /** The claim in force; undefined before the first. */
@@ -164,6 +167,7 @@
   /** Adds a job that has not ended: one that is accepted, or one from a snapshot. */
   addJob(progress: JobProgress): void {
     this.jobs.set(progress.job.id, progress);
+    this.openJobBytes += computeJobBytes(progress.job);
     if (!progress.begun && progress.job.firstRunMs === 0) this.adjustPending(progress, 1);
   }
 
@@ -315,6 +319,7 @@
     });
     if (!progress.begun && progress.job.firstRunMs === 0) this.adjustPending(progress, -1);
     this.jobs.delete(id);
+    this.openJobBytes -= computeJobBytes(progress.job);
     this.addEndedJob(id, {
       outcome,
       endedMs: this.logTimeMs,
--- a/packages/peer-protocol/src/reply-shapes.ts
+++ b/packages/peer-protocol/src/reply-shapes.ts
@@ -39,6 +39,7 @@
     isStandby: nullable(boolean),
     pending: nullable(list(tuple(string, integerFrom(0)), MAX_QUEUES)),
     pendingAgeMs: optional(nullable(numberFrom(0))),
+    openJobBytes: optional(nullable(numberFrom(0))),
   }),
   'owner-changed': object({}),
   advise: object({ advice: any }),
--- a/packages/types/src/peer-call-map.ts
+++ b/packages/types/src/peer-call-map.ts
@@ -85,6 +85,11 @@
        * absent in the reply of a process of the previous version.
        */
       pendingAgeMs?: number | null;
+      /**
+       * Estimated memory in bytes of the jobs that have not ended; null from a process without a current replica,
+       * absent in the reply of a process of the previous version.
+       */
+      openJobBytes?: number | null;
     };
   };
   /** Sent by a new owner of the cell to all processes known to it. */
