--- a/review/stand-ins-2/cluster.mjs
+++ b/review/stand-ins-2/cluster.mjs
@@ -26,6 +26,8 @@
   status_s: 120,
   checkpointS: 0.5,
   restoreMs: 100,
+  pacingMs: 100,
+  interferenceMs: 4_000,
 };
 const SERVICE = 'huvo11a';
 const HOST = 'nony24.example';
--- a/review/stand-ins-2/runner.mjs
+++ b/review/stand-ins-2/runner.mjs
@@ -4,11 +4,14 @@
 const HEARTBEAT_MS = 1_500;
 /** Time after its start at which a task that lasts is at work. */
 const STARTUP_MS = 300;
+/** Time over which the tail of a serving task is reported. */
+const TAIL_WINDOW_MS = 500;
 
 /**
  * Stand-in of a runner. `spec` of a job is a JSON text with the list `steps`; each has `ms` (the work of a task) and
  * optionally `gang`, `count`, `checkpointing`, `longRunning` and `failures` (how many runs of a task fail at half of
- * the work).
+ * the work). A serving task has `tailMs`, its tail latency without any other task beside it, and a task that fills has
+ * `disturbMs`, by which it raises the tails on its runner while it works at its full share.
  */
 export class Runner {
   /** Members of gangs that are present, by step and run; shared by all runners. */
@@ -29,6 +32,7 @@
   #sequence = 0;
   #sockets = new Set();
   #isDark = false;
+  #lastTickAtMs = 0;
   /** Removes the entry after three heartbeat intervals of silence. */
   #removal;
 
@@ -46,6 +50,7 @@
   async start() {
     clearTimeout(this.#removal);
     this.#born = Date.now();
+    this.#lastTickAtMs = performance.now();
     this.#steadyStartMs = performance.now() - 1_000 * (100 + Math.floor(Math.random() * 900));
     this.#token = 0;
     this.#leaseUntilMs = 0;
@@ -175,7 +180,7 @@
     this.#token = token;
     if (path === '/run-start') return this.#answerStart(response, body);
     if (path === '/run-stop') return this.#answerStop(response, body);
-    if (path === '/pace') return this.#send(response, 200, {});
+    if (path === '/pace') return this.#answerPace(response, body);
     if (path === '/hold') return void this.#answerHold(response, body);
     return this.#send(response, 404, {});
   }
@@ -209,6 +214,9 @@
       checkpoint,
       beganAtMs: performance.now(),
       workSinceMs: undefined,
+      workedMs: 0,
+      percent: 100,
+      tails: [],
     };
     this.#running.set(task, entry);
     this.record('run-began', { runner: this.id, task, run, checkpoint });
@@ -226,6 +234,16 @@
     return this.#send(response, 200, {});
   }
 
+  #answerPace(response, { task, run, percent }) {
+    const entry = this.#running.get(task);
+    if (entry?.run === run)
+      setTimeout(() => {
+        entry.percent = percent;
+        this.record('paced', { runner: this.id, task, run, percent });
+      }, this.bounds.pacingMs);
+    return this.#send(response, 200, {});
+  }
+
   async #answerHold(response, { deadlineMs, ackedSeq = 0, waitMs = 0 }) {
     this.#extendLease(deadlineMs);
     for (const [number, task, run, how] of this.#finished)
@@ -247,15 +265,44 @@
         entry.run,
         entry.checkpoint,
         this.#percent(entry),
-        0,
+        this.#load(entry),
       ]),
       finished: this.#finished.slice(0, 500),
     });
   }
 
   #workedMs(entry) {
-    if (entry.workSinceMs === undefined) return entry.resumedMs;
-    return entry.resumedMs + Math.max(0, performance.now() - entry.workSinceMs);
+    return entry.resumedMs + entry.workedMs;
+  }
+
+  /** The mean tail of the last half second of a serving task. */
+  #load({ step, tails }) {
+    if (step.tailMs === undefined) return 0;
+    return Math.round(tails.reduce((sum, tail) => sum + tail, 0) / Math.max(1, tails.length));
+  }
+
+  /** Tails of the serving tasks here, and how many tasks that fill work beside them. */
+  describeTails() {
+    const entries = [...this.#running.values()];
+    return {
+      tails: entries
+        .filter(({ step }) => step.tailMs !== undefined)
+        .map((entry) => ({ task: entry.task, tailMs: this.#load(entry) })),
+      filling: entries.filter(({ step, percent }) => step.disturbMs > 0 && percent > 0).length,
+    };
+  }
+
+  #measureTails() {
+    const entries = [...this.#running.values()];
+    const disturbMs = entries.reduce(
+      (sum, { step, percent }) => sum + ((step.disturbMs ?? 0) * percent) / 100,
+      0,
+    );
+    for (const { step, tails } of entries) {
+      if (step.tailMs === undefined) continue;
+      tails.push(step.tailMs + disturbMs);
+      if (tails.length > TAIL_WINDOW_MS / TICK_MS) tails.shift();
+    }
   }
 
   #percent(entry) {
@@ -295,8 +342,15 @@
   #tick() {
     if (this.#leaseUntilMs > 0 && this.#clockMs() > this.#leaseUntilMs)
       for (const entry of [...this.#running.values()]) this.#end(entry, 'lapsed');
+    this.#measureTails();
+    const nowMs = performance.now();
+    const elapsedMs = nowMs - this.#lastTickAtMs;
+    this.#lastTickAtMs = nowMs;
     for (const entry of [...this.#running.values()]) {
       const { step } = entry;
+      if (entry.workSinceMs !== undefined)
+        entry.workedMs +=
+          Math.max(0, Math.min(elapsedMs, nowMs - entry.workSinceMs)) * (entry.percent / 100);
       if (step.gang && entry.workSinceMs === undefined) {
         if (performance.now() - entry.beganAtMs > this.bounds.gangTimeoutMs)
           this.#end(entry, 'alone');
